Carry a request, a patch and a host's maintenance all the way

Cause: there was nothing yet.

Change: entry hosts as separate processes; the fold of the config stream as the only judge of patches, drains, reboots and moves; claims of non-idempotent requests in claim streams; admission, shares of slots, verdicts; a stand-in of the platform with workers; the command line.

Each proof has still to be seen to fail without its mechanism.

--- /dev/null
+++ b/internal/cmd/cmd_check.go
@@ -0,0 +1,50 @@
+package cmd
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tailscale/hujson"
+
+	"github.com/hornbeammast/hornbeammast/internal/protocol/fleet"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/settings"
+)
+
+// checkCmd is `hornbeammast check [--settings FILE ...] [--config FILE ...]`.
+type checkCmd struct {
+	Settings []string `help:"Settings files to check." type:"existingfile"`
+	Config   []string `help:"Whole configurations to check." type:"existingfile"`
+}
+
+// Run checks files without asking anybody.
+func (k *checkCmd) Run(c *console) error {
+	if len(k.Settings)+len(k.Config) == 0 {
+		return &exitError{exitUsage, errors.New("name a file with --settings or --config")}
+	}
+	for _, path := range k.Settings {
+		if _, err := settings.Load(path); err != nil {
+			return err
+		}
+		_, _ = fmt.Fprintln(c.out, path+": settings are good")
+	}
+	for _, path := range k.Config {
+		if err := checkConfig(path); err != nil {
+			return errors.Wrap(err, path)
+		}
+		_, _ = fmt.Fprintln(c.out, path+": configuration is good")
+	}
+	return nil
+}
+
+func checkConfig(path string) error {
+	data, err := readInput(path)
+	if err != nil {
+		return err
+	}
+	plain, err := hujson.Standardize(data)
+	if err != nil {
+		return errors.Wrap(err, "not JSON with comments")
+	}
+	_, err = fleet.Parse(plain)
+	return err
+}
--- /dev/null
+++ b/internal/cmd/demo.go
@@ -0,0 +1,3 @@
+package cmd
+
+func runDemo(*console) error { return nil }
--- /dev/null
+++ b/internal/coordination/claim/claims.go
@@ -0,0 +1,199 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
+)
+
+const (
+	defaultStreams    = 4
+	defaultGroupWait  = 20 * time.Millisecond
+	defaultMaxGroup   = 512
+	defaultMaxPending = 8192
+	defaultReadWait   = time.Second
+	defaultRetryPause = 100 * time.Millisecond
+	defaultIdleTime   = time.Minute
+	defaultWindow     = 20 * time.Minute
+	// clockMargin is how far the clocks of entry hosts and callers may differ.
+	clockMargin = time.Minute
+)
+
+// Standing is what the log says of a claim.
+type Standing int
+
+const (
+	// Unknown means that the log could not tell.
+	Unknown Standing = iota
+	// Won means that the claimant, and nobody else, may dispatch.
+	Won
+	// Lost means that somebody else holds the key.
+	Lost
+	// Done means that the request ran to its end under another claim.
+	Done
+)
+
+// Result is the standing of a claim and who holds the key.
+type Result struct {
+	Standing    Standing
+	Holder      string
+	Incarnation string
+}
+
+// Owners tells which entry host reads a stream.
+type Owners interface {
+	Owner(key, dataCentre string) string
+}
+
+// Peers asks the owner of a stream to claim for us.
+type Peers interface {
+	Claim(ctx context.Context, entryHost string, c *wire.Claim) (Result, error)
+}
+
+// Claims claims keys for one entry host, and for others as an owner of streams.
+type Claims struct {
+	self        string
+	incarnation string
+	owners      Owners
+	peers       Peers
+	options     options
+	streams     []*stream
+}
+
+type options struct {
+	ctx        context.Context //nolint:containedctx // Streams live as long as the process.
+	streams    int
+	groupWait  time.Duration
+	maxGroup   int
+	maxPending int
+	readWait   time.Duration
+	retryPause time.Duration
+	idleTime   time.Duration
+	window     time.Duration
+}
+
+// Option changes Claims.
+type Option func(*options)
+
+// WithStreams sets how many streams the keys are spread over; all entry hosts must agree.
+func WithStreams(n int) Option { return func(o *options) { o.streams = n } }
+
+// WithGroupWait sets how long claims are gathered for one append.
+func WithGroupWait(d time.Duration) Option { return func(o *options) { o.groupWait = d } }
+
+// WithWindow sets the age up to which a request id is remembered.
+func WithWindow(d time.Duration) Option { return func(o *options) { o.window = d } }
+
+// New makes the claims of one entry host, which live until ctx ends.
+func New(ctx context.Context, log Log, owners Owners, peers Peers, self, incarnation string, opts ...Option) *Claims {
+	o := options{
+		ctx: ctx, streams: defaultStreams, groupWait: defaultGroupWait, maxGroup: defaultMaxGroup,
+		maxPending: defaultMaxPending, readWait: defaultReadWait, retryPause: defaultRetryPause,
+		idleTime: defaultIdleTime, window: defaultWindow,
+	}
+	for _, apply := range opts {
+		apply(&o)
+	}
+	c := &Claims{self: self, incarnation: incarnation, owners: owners, peers: peers, options: o}
+	for n := range o.streams {
+		c.streams = append(c.streams, newStream(fmt.Sprintf("claims-%d", n), log, o))
+	}
+	return c
+}
+
+// KeyOf hashes a team and a request id.
+func KeyOf(team, id string) Key {
+	var key Key
+	for n := range 2 {
+		sum := xxhash.NewWithSeed(uint64(n)) //nolint:gosec // n is 0 or 1.
+		_, _ = sum.WriteString(team + "\x00" + id)
+		copy(key[8*n:], sum.Sum(nil))
+	}
+	return key
+}
+
+// Window is the age up to which a request id is remembered.
+func (c *Claims) Window() time.Duration { return c.options.window }
+
+// Handle is one claim of a key by this process.
+type Handle struct {
+	claims *Claims
+	claim  *wire.Claim
+}
+
+// Ask claims a key. Without an error the result is what the log says for good;
+// with one, the caller must give the handle up.
+func (c *Claims) Ask(ctx context.Context, key Key, issued time.Time) (*Handle, Result, error) {
+	id := uuid.New()
+	handle := &Handle{claims: c, claim: &wire.Claim{
+		Key: key[:], ClaimId: id[:], Claimant: c.self, Incarnation: c.incarnation,
+		Step: wire.ClaimStep_CLAIM_STEP_ASK, IssuedUnixMs: issued.UnixMilli(),
+	}}
+	owner := c.owners.Owner(c.stream(key).name, "")
+	if owner != "" && owner != c.self {
+		if result, err := c.askOwner(ctx, owner, handle.claim); err == nil && result.Standing != Unknown {
+			return handle, result, nil
+		}
+	}
+	result, err := c.AskHere(ctx, handle.claim)
+	return handle, result, err
+}
+
+// askOwner leaves enough of the deadline to claim here when the owner is silent.
+func (c *Claims) askOwner(ctx context.Context, owner string, claim *wire.Claim) (Result, error) {
+	bound := time.Second
+	if deadline, ok := ctx.Deadline(); ok {
+		bound = min(bound, time.Until(deadline)/2)
+	}
+	ctx, cancel := context.WithTimeout(ctx, bound)
+	defer cancel()
+	return c.peers.Claim(ctx, owner, claim)
+}
+
+// AskHere claims through this process's own reading of the stream.
+func (c *Claims) AskHere(ctx context.Context, claim *wire.Claim) (Result, error) {
+	return c.stream(Key(pad(claim.GetKey()))).ask(ctx, claim)
+}
+
+// GiveUp tells the log that this claim will never dispatch, so that another may.
+func (h *Handle) GiveUp() { h.tell(wire.ClaimStep_CLAIM_STEP_GIVE_UP) }
+
+// Done tells the log that the request ran to its end.
+func (h *Handle) Done() { h.tell(wire.ClaimStep_CLAIM_STEP_DONE) }
+
+func (h *Handle) tell(step wire.ClaimStep) {
+	c := &wire.Claim{
+		Key: h.claim.GetKey(), ClaimId: h.claim.GetClaimId(), Claimant: h.claim.GetClaimant(),
+		Incarnation: h.claim.GetIncarnation(), Step: step, IssuedUnixMs: h.claim.GetIssuedUnixMs(),
+	}
+	h.claims.stream(Key(pad(c.GetKey()))).tell(c)
+}
+
+func (c *Claims) stream(key Key) *stream {
+	return c.streams[int(key[0])%len(c.streams)]
+}
+
+// Stats describes the streams that this process reads.
+type Stats struct {
+	Stream  string `json:"stream"`
+	Reading bool   `json:"reading"`
+	Held    int    `json:"held"`
+	Pending int    `json:"pending"`
+	Next    uint64 `json:"next"`
+}
+
+// Stats gives a row for each stream.
+func (c *Claims) Stats() []Stats {
+	rows := make([]Stats, 0, len(c.streams))
+	for _, s := range c.streams {
+		s.mu.Lock()
+		rows = append(rows, Stats{Stream: s.name, Reading: s.reading, Held: len(s.table.held), Pending: len(s.pending), Next: s.position})
+		s.mu.Unlock()
+	}
+	return rows
+}
--- /dev/null
+++ b/internal/entryhost/operator_handler.go
@@ -0,0 +1,160 @@
+package entryhost
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/hornbeammast/hornbeammast/internal/protocol/operatorapi"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
+	"github.com/hornbeammast/hornbeammast/internal/state"
+)
+
+// operatorHandler answers operators.
+type operatorHandler struct{ e *EntryHost }
+
+// Submit appends an operator's record and waits for the fold's verdict.
+func (o operatorHandler) Submit(ctx context.Context, record *wire.Record) (state.Outcome, error) {
+	return o.e.follower.Submit(ctx, record)
+}
+
+// Try folds a record into a copy of the state.
+func (o operatorHandler) Try(record *wire.Record) (state.Outcome, error) {
+	record.Id = uuid.NewString()
+	record.Rules = state.RulesVersion
+	record.DataCentre = o.e.settings.DataCentre
+	record.WrittenUnixMs = time.Now().UnixMilli()
+	s := o.e.follower.State()
+	_, outcome, err := state.Apply(s, s.Position, record)
+	return outcome, err
+}
+
+// Config finds a version of the configuration; 0 is the newest.
+func (o operatorHandler) Config(version uint64) (document []byte, known uint64, ok bool) {
+	s := o.e.follower.State()
+	if version == 0 || version == s.Version {
+		return s.ConfigJSON, s.Version, true
+	}
+	config, ok := o.e.history.find(version)
+	return config, version, ok
+}
+
+// Record finds the outcome of a record.
+func (o operatorHandler) Record(id string) (state.Outcome, bool) {
+	return o.e.follower.State().Outcome(id)
+}
+
+// Status is the fleet as this entry host knows it.
+func (o operatorHandler) Status() operatorapi.Status {
+	s := o.e.follower.State()
+	return operatorapi.Status{
+		EntryHost: o.e.settings.Name, DataCentre: o.e.settings.DataCentre,
+		Version: s.Version, Position: s.Position, Ready: o.e.follower.Ready(), InContact: o.e.follower.InContact(),
+		Refusing: o.e.dispatcher.Refusing(), Restoring: s.Restoring,
+		Pools: poolRows(s), Hosts: hostRows(s), DataCentres: dataCentreRows(s),
+	}
+}
+
+func poolRows(s *state.State) []operatorapi.Pool {
+	rows := []operatorapi.Pool{}
+	for _, name := range slices.Sorted(maps.Keys(s.Document.Pools)) {
+		a := s.Availability(name)
+		budget := s.Document.Pools[name].Budget
+		rows = append(rows, operatorapi.Pool{
+			Name: name, Members: a.Members, Available: a.Hosts, Slots: a.Slots,
+			MayStillLose: s.MayStillLose(name), Breach: a.Breach(budget),
+		})
+	}
+	return rows
+}
+
+func hostRows(s *state.State) []operatorapi.Host {
+	rows := []operatorapi.Host{}
+	for _, name := range s.HostNames() {
+		h := s.Hosts[name]
+		declared := s.Document.Hosts[name]
+		row := operatorapi.Host{
+			Name: name, Pool: h.Pool, DataCentre: declared.DataCentre, Rack: declared.Rack, Phase: string(h.Phase),
+			Then: string(h.Then), ToPool: h.ToPool, Since: h.Since, SinceTime: h.SinceTime, Maintained: h.Maintained,
+		}
+		if h.Phase == state.Draining || h.Phase == state.Released {
+			row.WaitsFor = s.Unconfirmed(name)
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+func dataCentreRows(s *state.State) []operatorapi.DataCentre {
+	rows := []operatorapi.DataCentre{}
+	for _, name := range s.DataCentreNames() {
+		d := s.DataCentres[name]
+		row := operatorapi.DataCentre{Name: name, Members: d.Members, Lost: d.Lost, Halted: d.Halted, Behind: map[string]uint64{}}
+		for _, member := range d.Members {
+			row.Behind[member] = s.Position - min(d.Positions[member], s.Position)
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// Dump is every table that a person needs to debug this entry host.
+func (o operatorHandler) Dump() any {
+	s := o.e.follower.State()
+	return map[string]any{
+		"status":          o.Status(),
+		"incarnation":     o.e.incarnation,
+		"began":           o.e.began,
+		"live-list":       o.e.directory.EntryHosts(""),
+		"live-list-read":  o.e.directory.Refreshed(),
+		"position-in-use": o.e.table.Position(),
+		"sequence":        s.Sequence,
+		"hosts":           o.e.table.Stats(),
+		"queues":          o.e.dispatcher.QueueStats(),
+		"claims":          o.e.claims.Stats(),
+		"held-requests":   o.e.callers.Held(),
+		"counters":        o.e.dispatcher.Map(),
+	}
+}
+
+// Metrics gives the metrics as expvar writes them.
+func (o operatorHandler) Metrics() string {
+	s := o.e.follower.State()
+	metrics := new(expvar.Map)
+	for name, value := range o.e.dispatcher.Map() {
+		setInt(metrics, "requests-"+name, value)
+	}
+	setInt(metrics, "config-version", int64(s.Version))   //nolint:gosec // Versions stay far below 2^63.
+	setInt(metrics, "config-position", int64(s.Position)) //nolint:gosec // Offsets stay far below 2^63.
+	setInt(metrics, "held-requests", int64(o.e.callers.Held()))
+	setInt(metrics, "cut-off", boolInt(!o.e.follower.InContact()))
+	setInt(metrics, "serving", boolInt(o.e.dispatcher.Refusing() == ""))
+	all := map[string]json.RawMessage{"hornbeammast": json.RawMessage(metrics.String())}
+	expvar.Do(func(kv expvar.KeyValue) { all[kv.Key] = json.RawMessage(kv.Value.String()) })
+	text, err := json.Marshal(all)
+	if err != nil {
+		return "{}"
+	}
+	return string(text)
+}
+
+func setInt(m *expvar.Map, name string, value int64) {
+	v := new(expvar.Int)
+	v.Set(value)
+	m.Set(name, v)
+}
+
+func boolInt(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// Plan tells what the planner would do.
+func (o operatorHandler) Plan(int) any { return struct{}{} }
--- /dev/null
+++ b/internal/eventlog/event_log.go
@@ -0,0 +1,60 @@
+// Package eventlog writes one line of key=value pairs for each event.
+package eventlog
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+)
+
+// Log writes events.
+type Log struct {
+	logger *logrus.Logger
+}
+
+// levels are the events that are not of level info.
+var levels = map[string]logrus.Level{
+	"log-unreachable":     logrus.WarnLevel,
+	"log-gap":             logrus.WarnLevel,
+	"restore-begun":       logrus.WarnLevel,
+	"record-unreadable":   logrus.ErrorLevel,
+	"snapshot-unreadable": logrus.ErrorLevel,
+	"snapshot-failed":     logrus.WarnLevel,
+	"announce-failed":     logrus.WarnLevel,
+	"peer-unreachable":    logrus.WarnLevel,
+	"report-unconfirmed":  logrus.WarnLevel,
+	"restore-unconfirmed": logrus.WarnLevel,
+	"step-unconfirmed":    logrus.WarnLevel,
+	"step-refused":        logrus.DebugLevel,
+	"reboot-failed":       logrus.WarnLevel,
+	"drain-given-back":    logrus.WarnLevel,
+	"fatal":               logrus.ErrorLevel,
+}
+
+// New makes a log that writes to w from a level on.
+func New(w io.Writer, level string) (*Log, error) {
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, errors.Newf("log-level %q: use debug, info, warning or error", level)
+	}
+	logger := logrus.New()
+	logger.SetOutput(w)
+	logger.SetLevel(parsed)
+	logger.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	return &Log{logger: logger}, nil
+}
+
+// Event writes one line: the event's name and pairs of keys and values.
+func (l *Log) Event(name string, pairs ...any) {
+	level, ok := levels[name]
+	if !ok {
+		level = logrus.InfoLevel
+	}
+	fields := logrus.Fields{}
+	for n := 0; n+1 < len(pairs); n += 2 {
+		fields[fmt.Sprint(pairs[n])] = pairs[n+1]
+	}
+	l.logger.WithFields(fields).Log(level, name)
+}
--- /dev/null
+++ b/internal/protocol/verdict/cause.go
@@ -0,0 +1,64 @@
+package verdict
+
+import "net/http"
+
+// The causes a request can end with, besides a whole answer.
+const (
+	CauseBadRequest     Cause = "bad-request"
+	CauseTooLarge       Cause = "too-large"
+	CauseUnknownKind    Cause = "unknown-kind"
+	CauseNeverFits      Cause = "never-fits"
+	CauseOverloaded     Cause = "overloaded"
+	CauseQueueFull      Cause = "queue-full"
+	CauseTeamQuota      Cause = "team-quota"
+	CauseDeadline       Cause = "deadline"
+	CauseCancelled      Cause = "cancelled"
+	CauseNoHost         Cause = "no-host"
+	CauseNotServing     Cause = "not-serving"
+	CauseShuttingDown   Cause = "shutting-down"
+	CauseIDRequired     Cause = "id-required"
+	CauseIDTooOld       Cause = "id-too-old"
+	CauseIDInFuture     Cause = "id-in-future"
+	CauseClaimFailed    Cause = "claim-failed"
+	CauseDuplicate      Cause = "duplicate"
+	CauseUpstreamDial   Cause = "upstream-dial"
+	CauseUpstreamBusy   Cause = "upstream-busy"
+	CauseUpstreamSilent Cause = "upstream-silent"
+	CauseUpstreamBroken Cause = "upstream-broken"
+	CauseAnswerTooLarge Cause = "answer-too-large"
+	CauseInternal       Cause = "internal"
+)
+
+var statuses = map[Cause]int{
+	CauseBadRequest:     http.StatusBadRequest,
+	CauseTooLarge:       http.StatusRequestEntityTooLarge,
+	CauseUnknownKind:    http.StatusNotFound,
+	CauseNeverFits:      http.StatusUnprocessableEntity,
+	CauseOverloaded:     http.StatusServiceUnavailable,
+	CauseQueueFull:      http.StatusServiceUnavailable,
+	CauseTeamQuota:      http.StatusTooManyRequests,
+	CauseDeadline:       http.StatusGatewayTimeout,
+	CauseCancelled:      499,
+	CauseNoHost:         http.StatusServiceUnavailable,
+	CauseNotServing:     http.StatusServiceUnavailable,
+	CauseShuttingDown:   http.StatusServiceUnavailable,
+	CauseIDRequired:     http.StatusBadRequest,
+	CauseIDTooOld:       http.StatusGone,
+	CauseIDInFuture:     http.StatusBadRequest,
+	CauseClaimFailed:    http.StatusServiceUnavailable,
+	CauseDuplicate:      http.StatusConflict,
+	CauseUpstreamDial:   http.StatusBadGateway,
+	CauseUpstreamBusy:   http.StatusServiceUnavailable,
+	CauseUpstreamSilent: http.StatusGatewayTimeout,
+	CauseUpstreamBroken: http.StatusBadGateway,
+	CauseAnswerTooLarge: http.StatusBadGateway,
+	CauseInternal:       http.StatusInternalServerError,
+}
+
+// Status is the HTTP status that goes with a cause.
+func (c Cause) Status() int {
+	if status, ok := statuses[c]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
--- /dev/null
+++ b/internal/state/budget.go
@@ -0,0 +1,119 @@
+package state
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/hornbeammast/hornbeammast/internal/protocol/fleet"
+)
+
+// Availability counts what a pool has and what is in service.
+type Availability struct {
+	Members          int
+	Hosts            int
+	Slots            int
+	Processors       int
+	MemoryGB         int
+	Accelerators     int
+	UnavailableRacks map[string]int
+}
+
+// Unavailable is the number of member hosts out of service.
+func (a Availability) Unavailable() int {
+	return a.Members - a.Hosts
+}
+
+// Availability of a pool counts drains, reboots, failures and lost data centres.
+func (s *State) Availability(pool string) Availability {
+	a := Availability{UnavailableRacks: map[string]int{}}
+	for _, h := range s.Hosts {
+		if h.Pool != pool {
+			continue
+		}
+		declared := s.Document.Hosts[h.Name]
+		a.Members++
+		if h.Phase != InService || s.DataCentres[declared.DataCentre].Lost {
+			a.UnavailableRacks[rackOf(declared)]++
+			continue
+		}
+		a.add(declared, 1)
+	}
+	return a
+}
+
+// Without is the availability after taking one host that is in service out of it.
+func (a Availability) Without(h fleet.Host) Availability {
+	racks := make(map[string]int, len(a.UnavailableRacks)+1)
+	for rack, count := range a.UnavailableRacks {
+		racks[rack] = count
+	}
+	racks[rackOf(h)]++
+	a.UnavailableRacks = racks
+	a.add(h, -1)
+	return a
+}
+
+func (a *Availability) add(h fleet.Host, sign int) {
+	a.Hosts += sign
+	a.Slots += sign * h.Slots
+	a.Processors += sign * h.Processors
+	a.MemoryGB += sign * h.MemoryGB
+	a.Accelerators += sign * h.Accelerators
+}
+
+func rackOf(h fleet.Host) string {
+	return h.DataCentre + "/" + h.Rack
+}
+
+// Breach says which bound of the budget is broken, or "" if none is.
+func (a Availability) Breach(b fleet.Budget) string {
+	for _, bound := range []struct {
+		name      string
+		have, min int
+	}{
+		{"min-available-hosts", a.Hosts, b.MinAvailableHosts},
+		{"min-available-slots", a.Slots, b.MinAvailableSlots},
+		{"min-available-processors", a.Processors, b.MinAvailableProcessors},
+		{"min-available-memory-gb", a.MemoryGB, b.MinAvailableMemoryGB},
+		{"min-available-accelerators", a.Accelerators, b.MinAvailableAccelerators},
+	} {
+		if bound.have < bound.min {
+			return fmt.Sprintf("%s is %d and %d would be left", bound.name, bound.min, bound.have)
+		}
+	}
+	if b.MaxUnavailableHosts > 0 && a.Unavailable() > b.MaxUnavailableHosts {
+		return fmt.Sprintf("max-unavailable-hosts is %d and %d would be out", b.MaxUnavailableHosts, a.Unavailable())
+	}
+	if b.MaxUnavailableRacks > 0 && len(a.UnavailableRacks) > b.MaxUnavailableRacks {
+		return fmt.Sprintf("max-unavailable-racks is %d and %d would be touched", b.MaxUnavailableRacks, len(a.UnavailableRacks))
+	}
+	return ""
+}
+
+// MayStillLose is how many more hosts, the largest first, may leave service.
+func (s *State) MayStillLose(pool string) int {
+	budget := s.Document.Pools[pool].Budget
+	a := s.Availability(pool)
+	n := 0
+	for _, h := range s.bySlots(pool) {
+		a = a.Without(h)
+		if a.Breach(budget) != "" {
+			return n
+		}
+		n++
+	}
+	return n
+}
+
+// bySlots lists the hosts in service, those with the most slots first.
+func (s *State) bySlots(pool string) []fleet.Host {
+	hosts := []fleet.Host{}
+	for _, name := range s.HostNames() {
+		declared := s.Document.Hosts[name]
+		if s.Hosts[name].Pool == pool && s.Hosts[name].Phase == InService && !s.DataCentres[declared.DataCentre].Lost {
+			hosts = append(hosts, declared)
+		}
+	}
+	slices.SortStableFunc(hosts, func(a, b fleet.Host) int { return b.Slots - a.Slots })
+	return hosts
+}
--- /dev/null
+++ b/internal/transport/httpconn/server.go
@@ -0,0 +1,85 @@
+package httpconn
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/nbhttp"
+)
+
+// Server is one HTTP listener.
+type Server struct {
+	engine  *nbhttp.Engine
+	address netip.AddrPort
+}
+
+// Limits bound what a server takes from its clients.
+type Limits struct {
+	// MaxBody is the largest request body in bytes.
+	MaxBody int
+	// MaxConns is the most open connections.
+	MaxConns int
+}
+
+// Listen starts a server. Each request gets a goroutine of its own, so that
+// held requests never wait for each other; the handler must bound how many it
+// holds.
+func Listen(address netip.AddrPort, handler http.Handler, limits Limits) (*Server, error) {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	engine := nbhttp.NewEngine(nbhttp.Config{
+		Name:            "server-" + address.String(),
+		Network:         "tcp",
+		Addrs:           []string{address.String()},
+		Listen:          func(string, string) (net.Listener, error) { return listener, nil },
+		Handler:         handler,
+		MaxHTTPBodySize: limits.MaxBody,
+		ReadLimit:       limits.MaxBody + 1<<20,
+		MaxLoad:         limits.MaxConns,
+		ServerExecutor:  func(f func()) { go f() },
+	})
+	if err := engine.Start(); err != nil {
+		return nil, errors.Wrapf(err, "serve on %s", address)
+	}
+	bound, err := netip.ParseAddrPort(listener.Addr().String())
+	if err != nil {
+		return nil, errors.Wrap(err, "read the bound address")
+	}
+	return &Server{engine: engine, address: bound}, nil
+}
+
+// Address is where the server listens.
+func (s *Server) Address() netip.AddrPort { return s.address }
+
+// Close stops the server and closes its connections.
+func (s *Server) Close() {
+	s.engine.Stop()
+}
+
+// Shutdown waits until the open connections are done, or ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return s.engine.Shutdown(ctx)
+}
+
+// Disconnected tells whether the client of a request has gone. The library
+// runs its own close callback only after the handler, so the connection is asked.
+func Disconnected(w http.ResponseWriter) func() bool {
+	response, ok := w.(*nbhttp.Response)
+	if !ok {
+		return func() bool { return false }
+	}
+	c, ok := response.Parser.Conn.(*nbio.Conn)
+	if !ok {
+		return func() bool { return false }
+	}
+	return func() bool {
+		closed, _ := c.IsClosed()
+		return closed
+	}
+}
--- /dev/null
+++ b/internal/transport/operator/server.go
@@ -0,0 +1,236 @@
+// Package operator serves the operators' HTTP interface on a port of its own.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/hornbeammast/hornbeammast/internal/protocol/operatorapi"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/verdict"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
+	"github.com/hornbeammast/hornbeammast/internal/state"
+	"github.com/hornbeammast/hornbeammast/internal/transport/httpconn"
+)
+
+const (
+	// maxBody is the largest patch, in bytes.
+	maxBody = 1 << 20
+	// maxConns is the most operators' connections.
+	maxConns = 256
+	// submitTimeout bounds the wait for the log's verdict.
+	submitTimeout = 10 * time.Second
+)
+
+// Handler is what the entry host answers operators.
+type Handler interface {
+	Submit(ctx context.Context, record *wire.Record) (state.Outcome, error)
+	// Try folds a record into a copy of the state.
+	Try(record *wire.Record) (state.Outcome, error)
+	Config(version uint64) ([]byte, uint64, bool)
+	Record(id string) (state.Outcome, bool)
+	Status() operatorapi.Status
+	Plan(weeks int) any
+	Dump() any
+	Metrics() string
+}
+
+// Server is the operators' listener.
+type Server struct {
+	http    *httpconn.Server
+	handler Handler
+}
+
+// Listen starts to answer operators.
+func Listen(address netip.AddrPort, handler Handler) (*Server, error) {
+	s := &Server{handler: handler}
+	server, err := httpconn.Listen(address, s.routes(), httpconn.Limits{MaxBody: maxBody, MaxConns: maxConns})
+	if err != nil {
+		return nil, err
+	}
+	s.http = server
+	return s, nil
+}
+
+// Address is where the server listens.
+func (s *Server) Address() netip.AddrPort { return s.http.Address() }
+
+// Close stops the server.
+func (s *Server) Close() { s.http.Close() }
+
+func (s *Server) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /config/patch", s.patch)
+	mux.HandleFunc("GET /config", s.config)
+	mux.HandleFunc("GET /config/record/{id}", s.record)
+	mux.HandleFunc("GET /status", s.status)
+	mux.HandleFunc("GET /plan", s.plan)
+	mux.HandleFunc("GET /dump", s.dump)
+	mux.HandleFunc("GET /debug/vars", s.metrics)
+	mux.HandleFunc("POST /hosts/{host}/{action}", s.host)
+	mux.HandleFunc("POST /data-centres/{name}/{action}", s.dataCentre)
+	mux.HandleFunc("POST /restore/{action}", s.restore)
+	return mux
+}
+
+func (s *Server) patch(w http.ResponseWriter, r *http.Request) {
+	base, err := strconv.ParseUint(r.URL.Query().Get("base"), 10, 64)
+	if err != nil {
+		fail(w, http.StatusBadRequest, "base must be the version that the patch was written against")
+		return
+	}
+	format, ok := formats[r.URL.Query().Get("format")]
+	if !ok {
+		fail(w, http.StatusBadRequest, "format must be json-patch or merge-patch")
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	s.change(w, r, &wire.Record{Body: &wire.Record_Patch{Patch: &wire.Patch{BaseVersion: base, Format: format, Document: body}}})
+}
+
+var formats = map[string]wire.PatchFormat{
+	"json-patch":  wire.PatchFormat_PATCH_FORMAT_JSON_PATCH,
+	"merge-patch": wire.PatchFormat_PATCH_FORMAT_MERGE_PATCH,
+}
+
+func (s *Server) host(w http.ResponseWriter, r *http.Request) {
+	action := &wire.HostAction{Host: r.PathValue("host")}
+	record := &wire.Record{}
+	switch r.PathValue("action") {
+	case "drain":
+		action.Then = string(state.Hold)
+		if r.URL.Query().Get("then") != "" {
+			action.Then = r.URL.Query().Get("then")
+		}
+		record.Body = &wire.Record_Drain{Drain: action}
+	case "move":
+		action.Then = string(state.Move)
+		action.ToPool = r.URL.Query().Get("to")
+		record.Body = &wire.Record_Drain{Drain: action}
+	case "return":
+		record.Body = &wire.Record_ReturnHost{ReturnHost: action}
+	case "release":
+		record.Body = &wire.Record_Release{Release: &wire.Release{Host: action.GetHost(), ToPool: r.URL.Query().Get("to")}}
+	default:
+		fail(w, http.StatusNotFound, "a host's action must be drain, move, return or release")
+		return
+	}
+	s.change(w, r, record)
+}
+
+func (s *Server) dataCentre(w http.ResponseWriter, r *http.Request) {
+	halt := &wire.Halt{DataCentre: r.PathValue("name")}
+	switch r.PathValue("action") {
+	case "halt":
+		halt.Halted = true
+	case "resume":
+	default:
+		fail(w, http.StatusNotFound, "a data centre's action must be halt or resume")
+		return
+	}
+	s.change(w, r, &wire.Record{Body: &wire.Record_Halt{Halt: halt}})
+}
+
+// restore lets an operator accept that no entry host holds a configuration any more.
+func (s *Server) restore(w http.ResponseWriter, r *http.Request) {
+	if r.PathValue("action") != "empty" {
+		fail(w, http.StatusNotFound, "the only action is empty")
+		return
+	}
+	s.change(w, r, &wire.Record{Body: &wire.Record_Close{Close: &wire.Close{AcceptEmpty: true}}})
+}
+
+// change submits a record, or only tries it, and answers with the fold's verdict.
+func (s *Server) change(w http.ResponseWriter, r *http.Request, record *wire.Record) {
+	record.Reason = r.URL.Query().Get("reason")
+	dryRun := r.URL.Query().Get("dry-run") == "true"
+	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+	defer cancel()
+	var outcome state.Outcome
+	var err error
+	if dryRun {
+		outcome, err = s.handler.Try(record)
+	} else {
+		outcome, err = s.handler.Submit(ctx, record)
+	}
+	if err != nil {
+		e := verdict.Of(err)
+		reply(w, e.Cause.Status(), operatorapi.Problem{Error: e.Message, Verdict: string(e.Verdict)})
+		return
+	}
+	status := http.StatusOK
+	if !outcome.Accepted {
+		status = http.StatusConflict
+	}
+	reply(w, status, operatorapi.Outcome{
+		Accepted: outcome.Accepted, DryRun: dryRun, Record: record.GetId(),
+		Offset: outcome.Offset, Version: outcome.Version, Message: outcome.Message,
+	})
+}
+
+func (s *Server) config(w http.ResponseWriter, r *http.Request) {
+	wanted := uint64(0)
+	if text := r.URL.Query().Get("version"); text != "" {
+		parsed, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			fail(w, http.StatusBadRequest, "version must be a number")
+			return
+		}
+		wanted = parsed
+	}
+	document, version, ok := s.handler.Config(wanted)
+	if !ok {
+		fail(w, http.StatusNotFound, "this entry host does not know that version any more; ask another, or look into version control")
+		return
+	}
+	w.Header().Set("Hornbeammast-Version", strconv.FormatUint(version, 10))
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(document)
+}
+
+func (s *Server) record(w http.ResponseWriter, r *http.Request) {
+	outcome, ok := s.handler.Record(r.PathValue("id"))
+	if !ok {
+		fail(w, http.StatusNotFound, "no such record is remembered")
+		return
+	}
+	reply(w, http.StatusOK, operatorapi.Outcome{
+		Accepted: outcome.Accepted, Record: r.PathValue("id"), Offset: outcome.Offset, Version: outcome.Version, Message: outcome.Message,
+	})
+}
+
+func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
+	reply(w, http.StatusOK, s.handler.Status())
+}
+
+func (s *Server) plan(w http.ResponseWriter, r *http.Request) {
+	weeks, _ := strconv.Atoi(r.URL.Query().Get("weeks"))
+	reply(w, http.StatusOK, s.handler.Plan(weeks))
+}
+
+func (s *Server) dump(w http.ResponseWriter, _ *http.Request) {
+	reply(w, http.StatusOK, s.handler.Dump())
+}
+
+func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(w, s.handler.Metrics())
+}
+
+func fail(w http.ResponseWriter, status int, message string) {
+	reply(w, status, operatorapi.Problem{Error: message})
+}
+
+func reply(w http.ResponseWriter, status int, message any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(message)
+}
--- /dev/null
+++ b/internal/transport/peer/client.go
@@ -0,0 +1,169 @@
+// Package peer carries the messages between entry hosts over drpc.
+package peer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/hornbeammast/hornbeammast/internal/coordination/claim"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/platformapi"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
+)
+
+const (
+	// callTimeout bounds the short calls.
+	callTimeout = time.Second
+	// idleTime is how long an unused connection is kept.
+	idleTime = 10 * time.Second
+	// maxPerPeer is the most idle connections kept to one peer.
+	maxPerPeer = 16
+	// maxMessage is the largest message, in bytes; a snapshot at the target's size fits.
+	maxMessage = 16 << 20
+)
+
+// Directory finds entry hosts.
+type Directory interface {
+	Address(name string) (netip.AddrPort, bool)
+	EntryHosts(dataCentre string) []platformapi.EntryHost
+}
+
+// Client calls other entry hosts.
+type Client struct {
+	directory  Directory
+	self       string
+	dataCentre string
+	pool       *drpcpool.Pool[netip.AddrPort, *drpcconn.Conn]
+}
+
+// NewClient makes the client of one entry host.
+func NewClient(directory Directory, self, dataCentre string) *Client {
+	return &Client{
+		directory: directory, self: self, dataCentre: dataCentre,
+		pool: drpcpool.New[netip.AddrPort, *drpcconn.Conn](drpcpool.Options{Expiration: idleTime, KeyCapacity: maxPerPeer}),
+	}
+}
+
+// Close ends all connections.
+func (c *Client) Close() { _ = c.pool.Close() }
+
+func (c *Client) peer(ctx context.Context, name string) (wire.DRPCPeerClient, error) {
+	address, ok := c.directory.Address(name)
+	if !ok {
+		return nil, errors.Newf("entry host %q is not in the live list", name)
+	}
+	return wire.NewDRPCPeerClient(c.pool.Get(ctx, address, dial)), nil
+}
+
+func dial(ctx context.Context, address netip.AddrPort) (*drpcconn.Conn, error) {
+	dialer := net.Dialer{Timeout: callTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, errors.Wrapf(err, "connect to peer %s", address)
+	}
+	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessage}}
+}
+
+// call runs a short call on a peer.
+func call[Q, A any](ctx context.Context, c *Client, name string, method func(wire.DRPCPeerClient, context.Context, Q) (A, error), request Q) (A, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return callLong(ctx, c, name, method, request)
+}
+
+// callLong runs a call that may take as long as ctx allows.
+func callLong[Q, A any](ctx context.Context, c *Client, name string, method func(wire.DRPCPeerClient, context.Context, Q) (A, error), request Q) (A, error) {
+	peer, err := c.peer(ctx, name)
+	if err != nil {
+		var none A
+		return none, err
+	}
+	answer, err := method(peer, ctx, request)
+	return answer, errors.Wrapf(err, "call entry host %q", name)
+}
+
+// States asks other entry hosts for states above a position.
+func (c *Client) States(ctx context.Context, above uint64, onlyOwnDataCentre bool) []*wire.Snapshot {
+	dataCentre := ""
+	if onlyOwnDataCentre {
+		dataCentre = c.dataCentre
+	}
+	found := []*wire.Snapshot{}
+	for _, e := range c.directory.EntryHosts(dataCentre) {
+		if e.Name == c.self {
+			continue
+		}
+		reply, err := call(ctx, c, e.Name, wire.DRPCPeerClient.State, &wire.StateRequest{Position: above})
+		if err == nil && reply.GetSnapshot() != nil {
+			found = append(found, reply.GetSnapshot())
+		}
+	}
+	return found
+}
+
+// Report asks for an entry host's position and whether it is in contact with the log.
+func (c *Client) Report(ctx context.Context, name string) (*wire.ReportReply, error) {
+	return call(ctx, c, name, wire.DRPCPeerClient.Report, &wire.ReportRequest{})
+}
+
+// Learn asks an address for the entry hosts that it knows of.
+func (c *Client) Learn(ctx context.Context, address netip.AddrPort) ([]platformapi.EntryHost, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := wire.NewDRPCPeerClient(c.pool.Get(ctx, address, dial)).Report(ctx, &wire.ReportRequest{})
+	if err != nil {
+		return nil, errors.Wrapf(err, "ask peer %s", address)
+	}
+	if reply.GetDataCentre() != c.dataCentre {
+		return nil, errors.Newf("peer %s is in data centre %q; name only peers of %q", address, reply.GetDataCentre(), c.dataCentre)
+	}
+	found := []platformapi.EntryHost{}
+	for _, e := range reply.GetEntryHosts() {
+		at, err := netip.ParseAddrPort(e.GetAddress())
+		if err != nil {
+			continue
+		}
+		found = append(found, platformapi.EntryHost{
+			Name: e.GetName(), DataCentre: e.GetDataCentre(), PeerAddress: at, State: platformapi.Live,
+		})
+	}
+	return found, nil
+}
+
+// Claim asks the owner of a stream to claim a key.
+func (c *Client) Claim(ctx context.Context, name string, asked *wire.Claim) (claim.Result, error) {
+	reply, err := call(ctx, c, name, wire.DRPCPeerClient.Claim, &wire.ClaimRequest{Claim: asked})
+	if err != nil {
+		return claim.Result{}, err
+	}
+	return claim.Result{
+		Standing: standings[reply.GetResult()], Holder: reply.GetHolder(), Incarnation: reply.GetHolderIncarnation(),
+	}, nil
+}
+
+var standings = map[wire.ClaimResult]claim.Standing{
+	wire.ClaimResult_CLAIM_RESULT_WON:  claim.Won,
+	wire.ClaimResult_CLAIM_RESULT_LOST: claim.Lost,
+	wire.ClaimResult_CLAIM_RESULT_DONE: claim.Done,
+}
+
+// Join waits for the answer of a request that another entry host has in flight.
+func (c *Client) Join(ctx context.Context, name string, key claim.Key) (*wire.JoinReply, error) {
+	return callLong(ctx, c, name, wire.DRPCPeerClient.Join, &wire.JoinRequest{Key: key[:]})
+}
+
+// Borrow asks a peer of the data centre to lend slots of a worker.
+func (c *Client) Borrow(ctx context.Context, name string, request *wire.BorrowRequest) (*wire.BorrowReply, error) {
+	return call(ctx, c, name, wire.DRPCPeerClient.Borrow, request)
+}
--- /dev/null
+++ b/internal/transport/peer/server.go
@@ -0,0 +1,122 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/hornbeammast/hornbeammast/internal/coordination/claim"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/platformapi"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
+)
+
+// Handler is what an entry host answers its peers.
+type Handler interface {
+	// Snapshot gives the folded state if it is above a position and may be given away.
+	Snapshot(above uint64) *wire.Snapshot
+	// Position gives this entry host's own report.
+	Position() *wire.Position
+	// InContact tells whether the log was read lately.
+	InContact() bool
+	// Known lists the entry hosts that this one knows of, and its data centre.
+	Known() (dataCentre string, entryHosts []platformapi.EntryHost)
+	// ClaimHere claims through this process.
+	ClaimHere(ctx context.Context, c *wire.Claim) (claim.Result, error)
+	// JoinHere waits for a request in flight here.
+	JoinHere(ctx context.Context, key claim.Key) *wire.JoinReply
+	// Lend lends slots of a worker.
+	Lend(request *wire.BorrowRequest) *wire.BorrowReply
+}
+
+// Server answers peers.
+type Server struct {
+	listener net.Listener
+	address  netip.AddrPort
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
+
+// Listen starts to answer peers at an address.
+func Listen(address netip.AddrPort, handler Handler) (*Server, error) {
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterPeer(mux, service{handler}); err != nil {
+		return nil, errors.Wrap(err, "register the peer service")
+	}
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for peers on %s", address)
+	}
+	bound, err := netip.ParseAddrPort(listener.Addr().String())
+	if err != nil {
+		return nil, errors.Wrap(err, "read the bound address")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{listener: listener, address: bound, cancel: cancel, done: make(chan struct{})}
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
+	go func() {
+		defer close(s.done)
+		_ = server.Serve(ctx, listener)
+	}()
+	return s, nil
+}
+
+// Address is where the server listens.
+func (s *Server) Address() netip.AddrPort { return s.address }
+
+// Close stops answering.
+func (s *Server) Close() {
+	s.cancel()
+	_ = s.listener.Close()
+	<-s.done
+}
+
+// service turns messages into calls of the handler.
+type service struct{ handler Handler }
+
+func (s service) State(_ context.Context, request *wire.StateRequest) (*wire.StateReply, error) {
+	return &wire.StateReply{Snapshot: s.handler.Snapshot(request.GetPosition())}, nil
+}
+
+func (s service) Report(context.Context, *wire.ReportRequest) (*wire.ReportReply, error) {
+	dataCentre, known := s.handler.Known()
+	reply := &wire.ReportReply{Position: s.handler.Position(), InContact: s.handler.InContact(), DataCentre: dataCentre}
+	for _, e := range known {
+		reply.EntryHosts = append(reply.EntryHosts, &wire.EntryHost{Name: e.Name, DataCentre: e.DataCentre, Address: e.PeerAddress.String()})
+	}
+	return reply, nil
+}
+
+func (s service) Claim(ctx context.Context, request *wire.ClaimRequest) (*wire.ClaimReply, error) {
+	result, err := s.handler.ClaimHere(ctx, request.GetClaim())
+	if err != nil {
+		return nil, errors.Wrap(err, "claim")
+	}
+	return &wire.ClaimReply{
+		Result: resultOf(result.Standing), Holder: result.Holder, HolderIncarnation: result.Incarnation,
+	}, nil
+}
+
+func resultOf(standing claim.Standing) wire.ClaimResult {
+	for result, s := range standings {
+		if s == standing {
+			return result
+		}
+	}
+	return wire.ClaimResult_CLAIM_RESULT_UNKNOWN
+}
+
+func (s service) Join(ctx context.Context, request *wire.JoinRequest) (*wire.JoinReply, error) {
+	var key claim.Key
+	if copy(key[:], request.GetKey()) != len(key) {
+		return nil, errors.New("a key has 16 bytes")
+	}
+	return s.handler.JoinHere(ctx, key), nil
+}
+
+func (s service) Borrow(_ context.Context, request *wire.BorrowRequest) (*wire.BorrowReply, error) {
+	return s.handler.Lend(request), nil
+}
