--- a/internal/coordination/follower/gap.go
+++ b/internal/coordination/follower/gap.go
@@ -87,7 +87,7 @@
 func (f *Follower) Restore(ctx context.Context, absent map[string]bool) error {
 	s := f.State()
 	if s.OfferWanted(f.self.Name) {
-		record := &wire.Record{Body: &wire.Record_Offer{Offer: &wire.Offer{Snapshot: s.Offer()}}}
+		record := &wire.Record{Body: &wire.Record_Offer{Offer: s.Offer()}}
 		_, err := f.Submit(ctx, record)
 		return err
 	}
@@ -98,7 +98,7 @@
 	for name := range absent {
 		names = append(names, name)
 	}
-	record := &wire.Record{Body: &wire.Record_Close{Close: &wire.Close{Absent: names}}}
+	record := &wire.Record{Body: &wire.Record_Close{Close: s.Close(names)}}
 	_, err := f.Submit(ctx, record)
 	return err
 }
--- a/internal/entryhost/operator_handler.go
+++ b/internal/entryhost/operator_handler.go
@@ -20,6 +20,9 @@
 
 // Submit appends an operator's record and waits for the fold's verdict.
 func (o operatorHandler) Submit(ctx context.Context, record *wire.Record) (state.Outcome, error) {
+	if end := record.GetClose(); end != nil {
+		end.Round = o.e.follower.State().Close(nil).GetRound()
+	}
 	return o.e.follower.Submit(ctx, record)
 }
 
--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -37,7 +37,7 @@
 	if record.GetRules() > RulesVersion {
 		return s, Outcome{}, errors.Wrapf(ErrNewerRules, "offset %d, rules %d", offset, record.GetRules())
 	}
-	if seen, ok := s.recall(record.GetId()); ok {
+	if seen, ok := s.recall(record.GetId()); ok && !opensRound(record) {
 		next := *s
 		next.Position = offset + 1
 		outcome := Outcome{Offset: seen.Offset, Accepted: seen.Accepted, Repeated: true, Message: seen.Message, Version: s.Version}
@@ -70,6 +70,12 @@
 	return &next
 }
 
+// opensRound tells whether a record opens a round of offers. It does so for
+// everybody, whatever else they have read.
+func opensRound(record *wire.Record) bool {
+	return record.GetOffer() != nil && record.GetOffer().GetRound() == 0
+}
+
 // remembered tells whether a repeated append of the record could do harm.
 // Position reports can be repeated freely and are the most frequent.
 func remembered(record *wire.Record) bool {
--- a/internal/state/fold_patch.go
+++ b/internal/state/fold_patch.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"bytes"
+	"encoding/json"
 	"maps"
 	"slices"
 
@@ -18,6 +20,10 @@
 	if err != nil {
 		return err
 	}
+	merged, err = canonical(merged)
+	if err != nil {
+		return err
+	}
 	document, err := fleet.Parse(merged)
 	if err != nil {
 		return refuse("%v", err)
@@ -56,6 +62,22 @@
 	}
 }
 
+// canonical sorts the keys: the patch library leaves new ones in any order,
+// and equal configurations must be equal bytes everywhere.
+func canonical(config []byte) ([]byte, error) {
+	decoder := json.NewDecoder(bytes.NewReader(config))
+	decoder.UseNumber()
+	var document any
+	if err := decoder.Decode(&document); err != nil {
+		return nil, refuse("the patched document is not JSON: %v", err)
+	}
+	sorted, err := json.Marshal(document)
+	if err != nil {
+		return nil, refuse("the patched document can't be written: %v", err)
+	}
+	return sorted, nil
+}
+
 // patchHosts carries membership over to a new document.
 func (s *State) patchHosts(at entry, document *fleet.Document) (map[string]Host, error) {
 	hosts := maps.Clone(s.Hosts)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -4,7 +4,6 @@
 
 import (
 	"github.com/hornbeammast/hornbeammast/internal/protocol/fleet"
-	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
 )
 
 // RulesVersion is the newest version of the rules that this program folds by.
@@ -37,11 +36,7 @@
 
 	// Restoring is set while offers are collected after the log lost records.
 	Restoring bool
-	// restoreSeen remembers the ids since the first offer; from there on all
-	// followers have read the same entries.
-	restoreSeen seenRecords
-	bestOffer   *wire.Snapshot
-	offeredBy   map[string]struct{}
+	restore   restore
 }
 
 // New is the state before the first record.
@@ -52,8 +47,6 @@
 		Hosts:       map[string]Host{},
 		DataCentres: map[string]DataCentre{},
 		seen:        newSeenRecords(),
-		restoreSeen: newSeenRecords(),
-		offeredBy:   map[string]struct{}{},
 	}
 }
 
@@ -86,7 +79,7 @@
 
 func (s *State) recall(id string) (seenRecord, bool) {
 	if s.Restoring {
-		return s.restoreSeen.find(id)
+		return s.restore.seen.find(id)
 	}
 	return s.seen.find(id)
 }
@@ -95,7 +88,7 @@
 	switch {
 	case !s.Restoring:
 		s.seen = s.seen.with(seen)
-	case s.bestOffer != nil:
-		s.restoreSeen = s.restoreSeen.with(seen)
+	case s.restore.round > 0:
+		s.restore.seen = s.restore.seen.with(seen)
 	}
 }
