Admission: start at once without queueing

Change: work that may start at once gets its slot without passing through the lists; idle teams are remembered up to a bound.

TestQueue (1000 random histories) holds: slots, counts, quotas, no idle slot while somebody may use one.

--- a/internal/coordination/admission/kind.go
+++ b/internal/coordination/admission/kind.go
@@ -13,6 +13,8 @@
 	// unknownRunTime is assumed where nothing is declared or learned.
 	unknownRunTime  = 50 * time.Millisecond
 	defaultMaxQueue = 1024
+	// maxIdleTeams is how many teams are remembered while they have nothing queued.
+	maxIdleTeams = 1024
 	// maxQueueBytes bounds the waiting requests of a kind.
 	maxQueueBytes = 64 << 20
 )
@@ -136,9 +138,10 @@
 	k.forgetIdle(t.team)
 }
 
-// forgetIdle drops a team that has nothing here, so that the table stays small.
+// forgetIdle drops a team that has nothing here once there are many, so that
+// callers can't fill the table with names.
 func (k *kindQueue) forgetIdle(q *teamQueue) {
-	if q.running == 0 && q.waiting.Len() == 0 {
+	if len(k.teams) > maxIdleTeams && q.running == 0 && q.waiting.Len() == 0 {
 		delete(k.teams, q.name)
 	}
 }
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -97,12 +97,36 @@
 	if err := q.refuseEarly(k, w, now); err != nil {
 		return nil, err
 	}
-	t := &Ticket{work: w, kind: k, team: k.team(w.Team, quota), ready: make(chan struct{})}
+	t := &Ticket{work: w, kind: k, team: k.team(w.Team, quota)}
+	if q.startAtOnce(t, now) {
+		return t, nil
+	}
+	t.ready = make(chan struct{})
 	k.push(t)
 	q.schedule(now)
 	return t, nil
 }
 
+// startAtOnce gives a slot without queueing. Whoever waits at this moment
+// could not use the free slots, so nobody is passed over.
+func (q *Queue) startAtOnce(t *Ticket, now time.Time) bool {
+	k := t.kind
+	if !t.team.mayRun() || t.team.waiting.Len() > 0 || q.slots.Free() <= 0 {
+		return false
+	}
+	capacity := q.slots.Capacity()
+	if float64(k.running) >= k.guaranteed(capacity) && !q.mayBorrow(k, capacity) {
+		return false
+	}
+	host, ok := q.slots.Reserve(k.rules.Needs, nil, now)
+	if !ok {
+		return false
+	}
+	t.ready = alreadyReady
+	q.grant(t, host, now)
+	return true
+}
+
 func (q *Queue) refuseEarly(k *kindQueue, w Work, now time.Time) error {
 	wait := k.wait(q.slots.Capacity(), q.slots.Free())
 	if k.queued >= k.rules.MaxQueue || k.bytes+w.Bytes > maxQueueBytes {
@@ -129,15 +153,19 @@
 			full = append(full, k)
 			continue
 		}
-		k.start(t)
-		t.host = host
-		t.granted = true
-		t.began = now
+		q.grant(t, host, now)
 		close(t.ready)
-		q.onGrant(t)
 	}
 }
 
+func (q *Queue) grant(t *Ticket, host *balance.Host, now time.Time) {
+	t.kind.start(t)
+	t.host = host
+	t.granted = true
+	t.began = now
+	q.onGrant(t)
+}
+
 // nextKind picks the kind furthest below its guarantee, or else the most urgent.
 // The kinds in full found no host with room that fits them.
 func (q *Queue) nextKind(full []*kindQueue) *kindQueue {
--- /dev/null
+++ b/internal/coordination/admission/queue_test.go
@@ -0,0 +1,250 @@
+package admission
+
+import (
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hornbeammast/hornbeammast/internal/coordination/balance"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/verdict"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var began = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func pool(hosts, share int) *balance.Pool {
+	table := balance.NewTable(1)
+	views := []balance.HostView{}
+	for n := range hosts {
+		views = append(views, balance.HostView{
+			Name: fmt.Sprintf("h%d", n), Address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(n+1)), Pool: "p",
+			Share: share, InService: true, MemoryGB: 64 * (n % 2),
+		})
+	}
+	table.Update(views, 1)
+	p, _ := table.Pool("p")
+	return p
+}
+
+// machine drives a queue at random and checks it after each step.
+type machine struct {
+	q       *Queue
+	pool    *balance.Pool
+	rules   map[string]KindRules
+	waiting []*Ticket
+	running []*Ticket
+	now     time.Time
+}
+
+const quota = 3
+
+func (m *machine) Admit(t *rapid.T) {
+	kind := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "kind")
+	work := Work{Kind: kind, Team: fmt.Sprintf("t%d", rapid.IntRange(0, 3).Draw(t, "team")), Bytes: 10}
+	ticket, err := m.q.Admit(work, quota, m.now)
+	if err == nil {
+		m.waiting = append(m.waiting, ticket)
+		return
+	}
+	if e := verdict.Of(err); e.Verdict != verdict.NotRun {
+		t.Fatalf("an early refusal said %s", e.Verdict)
+	}
+}
+
+func (m *machine) Cancel(t *rapid.T) {
+	if len(m.waiting) == 0 {
+		t.Skip()
+	}
+	n := rapid.IntRange(0, len(m.waiting)-1).Draw(t, "n")
+	if !m.q.Cancel(m.waiting[n]) {
+		t.Fatal("a waiting ticket could not be cancelled")
+	}
+	if m.q.Cancel(m.waiting[n]) {
+		t.Fatal("a ticket was cancelled twice")
+	}
+	m.waiting = append(m.waiting[:n], m.waiting[n+1:]...)
+}
+
+func (m *machine) Finish(t *rapid.T) {
+	if len(m.running) == 0 {
+		t.Skip()
+	}
+	n := rapid.IntRange(0, len(m.running)-1).Draw(t, "n")
+	if m.q.Cancel(m.running[n]) {
+		t.Fatal("a running ticket was cancelled")
+	}
+	m.now = m.now.Add(10 * time.Millisecond)
+	m.q.Finish(m.running[n], 10*time.Millisecond, m.now)
+	m.running = append(m.running[:n], m.running[n+1:]...)
+}
+
+func (m *machine) Check(t *rapid.T) {
+	still := m.waiting[:0]
+	for _, ticket := range m.waiting {
+		select {
+		case <-ticket.Ready():
+			m.running = append(m.running, ticket)
+		default:
+			still = append(still, ticket)
+		}
+	}
+	m.waiting = still
+	if len(m.running) > m.pool.Capacity() {
+		t.Fatalf("%d run on %d slots", len(m.running), m.pool.Capacity())
+	}
+	m.checkCounts(t)
+	m.checkIdle(t)
+}
+
+// checkCounts compares the queue's own counts and the quotas.
+func (m *machine) checkCounts(t *rapid.T) {
+	running, queued, teams := map[string]int{}, map[string]int{}, map[string]int{}
+	for _, ticket := range m.running {
+		running[ticket.work.Kind]++
+		teams[ticket.work.Kind+ticket.work.Team]++
+	}
+	for _, ticket := range m.waiting {
+		queued[ticket.work.Kind]++
+	}
+	for _, row := range m.q.Stats() {
+		if row.Running != running[row.Kind] || row.Queued != queued[row.Kind] || row.Bytes != 10*row.Queued || row.Queued > 20 {
+			t.Fatalf("%+v, counted %d running and %d waiting", row, running[row.Kind], queued[row.Kind])
+		}
+	}
+	for team, n := range teams {
+		if n > quota {
+			t.Fatalf("team %s runs %d, quota %d", team, n, quota)
+		}
+	}
+}
+
+// checkIdle finds slots that stand idle while somebody may use one.
+func (m *machine) checkIdle(t *rapid.T) {
+	teams := map[string]int{}
+	for _, ticket := range m.running {
+		teams[ticket.work.Kind+ticket.work.Team]++
+	}
+	for _, ticket := range m.waiting {
+		if teams[ticket.work.Kind+ticket.work.Team] >= quota {
+			continue
+		}
+		host, ok := m.pool.Reserve(m.rules[ticket.work.Kind].Needs, nil, m.now)
+		if ok {
+			host.Release()
+			t.Fatalf("a slot of %s is idle while %s of %s waits", host.Name, ticket.work.Kind, ticket.work.Team)
+		}
+	}
+}
+
+// TestQueue runs random histories of a queue.
+func TestQueue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{pool: pool(4, 2), now: began, rules: map[string]KindRules{
+			"a": {Guarantee: 0.5, MaxQueue: 20},
+			"b": {Guarantee: 0.25, Urgency: 5, MaxQueue: 20},
+			"c": {Urgency: 1, MaxQueue: 20, Needs: balance.Needs{MemoryGB: 64}},
+		}}
+		m.q = NewQueue(m.pool)
+		m.q.SetRules(m.rules)
+		t.Repeat(rapid.StateMachineActions(m))
+	})
+}
+
+// TestGuarantee floods with the most and with the least urgent kind: the
+// other gets the next free slots up to its guarantee.
+func TestGuarantee(t *testing.T) {
+	for _, flooding := range []string{"urgent", "calm"} {
+		other := map[string]string{"urgent": "calm", "calm": "urgent"}[flooding]
+		q := NewQueue(pool(2, 4))
+		q.SetRules(map[string]KindRules{"urgent": {Guarantee: 0.5, Urgency: 9}, "calm": {Guarantee: 0.5}})
+		var running []*Ticket
+		for n := range 100 {
+			ticket, err := q.Admit(Work{Kind: flooding, Team: fmt.Sprint(n)}, 0, began)
+			if err != nil {
+				t.Fatal(err)
+			}
+			running = append(running, ticket)
+		}
+		var others []*Ticket
+		for range 4 {
+			ticket, err := q.Admit(Work{Kind: other, Team: "t"}, 0, began)
+			if err != nil {
+				t.Fatal(err)
+			}
+			others = append(others, ticket)
+		}
+		for n := range 4 {
+			q.Finish(running[n], time.Millisecond, began)
+			select {
+			case <-others[n].Ready():
+			default:
+				t.Errorf("%s floods: free slot %d did not go to %s", flooding, n, other)
+			}
+		}
+	}
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	for _, size := range []struct{ hosts, kinds, teams int }{{50, 5, 20}, {290, 10, 70}, {880, 20, 200}} {
+		b.Run(fmt.Sprintf("hosts=%d", size.hosts), func(b *testing.B) {
+			q := NewQueue(pool(size.hosts, 8))
+			rules := map[string]KindRules{}
+			for n := range size.kinds {
+				rules[fmt.Sprintf("k%d", n)] = KindRules{Guarantee: 1 / float64(size.kinds), Urgency: n}
+			}
+			q.SetRules(rules)
+			works := []Work{}
+			for n := range 1024 {
+				works = append(works, Work{Kind: fmt.Sprintf("k%d", n%size.kinds), Team: fmt.Sprintf("t%d", n%size.teams)})
+			}
+			b.ReportAllocs()
+			n := 0
+			for b.Loop() {
+				ticket, err := q.Admit(works[n%len(works)], 16, began)
+				if err != nil {
+					b.Fatal(err)
+				}
+				q.Finish(ticket, time.Millisecond, began)
+				n++
+			}
+		})
+	}
+}
+
+// BenchmarkCancelWave cancels tickets from a long queue, one an iteration.
+func BenchmarkCancelWave(b *testing.B) {
+	for _, waiting := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			q := NewQueue(pool(1, 1))
+			q.SetRules(map[string]KindRules{"k": {MaxQueue: waiting + 2}})
+			tickets := []*Ticket{}
+			for n := range waiting + 1 {
+				ticket, err := q.Admit(Work{Kind: "k", Team: fmt.Sprint(n % 200)}, 0, began)
+				if err != nil {
+					b.Fatal(err)
+				}
+				tickets = append(tickets, ticket)
+			}
+			n := 0
+			for b.Loop() {
+				at := 1 + n%waiting
+				q.Cancel(tickets[at])
+				tickets[at], _ = q.Admit(Work{Kind: "k", Team: fmt.Sprint(n % 200)}, 0, began)
+				n++
+			}
+		})
+	}
+}
--- a/internal/coordination/admission/ticket.go
+++ b/internal/coordination/admission/ticket.go
@@ -33,6 +33,13 @@
 	began   time.Time
 }
 
+// alreadyReady is the channel of tickets that never had to wait.
+var alreadyReady = func() chan struct{} {
+	ready := make(chan struct{})
+	close(ready)
+	return ready
+}()
+
 // Ready closes when the ticket has a slot.
 func (t *Ticket) Ready() <-chan struct{} { return t.ready }
 
@@ -50,7 +57,11 @@
 }
 
 func (q *teamQueue) eligible() bool {
-	return q.waiting.Len() > 0 && (q.quota == 0 || q.running < q.quota)
+	return q.waiting.Len() > 0 && q.mayRun()
+}
+
+func (q *teamQueue) mayRun() bool {
+	return q.quota == 0 || q.running < q.quota
 }
 
 // Kind is the kind of work of the request.
