Planner: waves with lent hosts, and a driver of seven virtual weeks

Cause: hosts were drained only by hand.

Change: a pure planner (drains inside the budgets, most overdue first, racks in touch first, troughs waited for, spare hosts lent to pools that can't let a host go and sent straight on to the next, a halt after correlated failures), the naive way beside it, and a driver over the fold. A lent host keeps its home in the state.

--- a/internal/coordination/maintenance/executor.go
+++ b/internal/coordination/maintenance/executor.go
@@ -106,7 +106,7 @@
 	switch {
 	case h.Phase == state.Drained && h.Then == state.Reboot:
 		return &wire.Record{Body: &wire.Record_Reboot{Reboot: action}}
-	case h.Phase == state.Drained && h.Then == state.Move:
+	case h.Phase == state.Drained && (h.Then == state.Move || h.Then == state.Lend):
 		return &wire.Record{Body: &wire.Record_Release{Release: &wire.Release{Host: h.Name, ToPool: h.ToPool}}}
 	case h.Phase == state.Released && s.Confirmed(h.Name):
 		return &wire.Record{Body: &wire.Record_Attach{Attach: action}}
--- /dev/null
+++ b/internal/coordination/maintenance/naive.go
@@ -0,0 +1,46 @@
+package maintenance
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hornbeammast/hornbeammast/internal/state"
+)
+
+// NaivePlanFor is the baseline of all measurements: each pool holds a spare of
+// its own, one host in the whole fleet goes at a time, pools in the order of
+// their names, nothing is lent.
+func NaivePlanFor(s *state.State, dataCentre string, _ Demand, now time.Time) Plan {
+	p := &planner{s: s, dc: dataCentre, now: now, interval: s.Document.Maintenance.Interval.Std()}
+	p.plan = Plan{DataCentre: dataCentre}
+	if p.idle() != "" || !p.waveUnderWay() {
+		return p.plan
+	}
+	for _, h := range s.Hosts {
+		if h.Phase != state.InService && h.Phase != state.Failed {
+			return p.plan
+		}
+	}
+	for _, pool := range slices.Sorted(maps.Keys(s.Document.Pools)) {
+		for _, name := range s.HostNames() {
+			h := s.Hosts[name]
+			if h.Pool != pool || h.Phase != state.InService || now.Sub(h.Maintained) < p.interval/2 {
+				continue
+			}
+			if s.Document.Hosts[name].DataCentre == dataCentre {
+				p.plan.propose(DrainForReboot, name, "", "next in order")
+			}
+			return p.plan
+		}
+	}
+	return p.plan
+}
+
+// GreedyPlanFor drains whatever the budgets allow, the most overdue first, and
+// lends nothing. It is one of the ways that were weighed.
+func GreedyPlanFor(s *state.State, dataCentre string, demand Demand, now time.Time) Plan {
+	plan := PlanFor(s, dataCentre, demand, now)
+	plan.Proposals = slices.DeleteFunc(plan.Proposals, func(p Proposal) bool { return p.Action == LendHost })
+	return plan
+}
--- /dev/null
+++ b/internal/emulator/maintenance_test.go
@@ -0,0 +1,72 @@
+package emulator
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/hornbeammast/hornbeammast/internal/coordination/maintenance"
+)
+
+// scenario is one way of running seven weeks.
+type scenario struct {
+	name    string
+	naive   bool
+	planner Planner
+	faults  MaintenanceFaults
+}
+
+func scenarios() []scenario {
+	return []scenario{
+		{"naive", true, maintenance.NaivePlanFor, MaintenanceFaults{}},
+		{"greedy", true, maintenance.GreedyPlanFor, MaintenanceFaults{}},
+		{"policy", false, maintenance.PlanFor, MaintenanceFaults{}},
+		{"policy-rack-fails", false, maintenance.PlanFor, MaintenanceFaults{RackFails: true}},
+		{"policy-cut-off", false, maintenance.PlanFor, MaintenanceFaults{CutOff: true}},
+	}
+}
+
+func BenchmarkMaintenance(b *testing.B) {
+	for _, user := range []string{"co-operative", "isikbakim", "target"} {
+		for _, sc := range scenarios() {
+			b.Run(user+"/"+sc.name, func(b *testing.B) {
+				fleet, policy := Fleets(user)
+				if !sc.naive {
+					fleet = policy
+				}
+				faults := sc.faults
+				if user == "target" {
+					faults.FailuresPerDay = 8
+				}
+				var result MaintenanceResult
+				for b.Loop() {
+					result = RunMaintenance(fleet, sc.planner, faults, 1)
+				}
+				b.ReportMetric(result.BufferHostHours, "buffer-host-hours")
+				b.ReportMetric(result.RolloutHours, "rollout-hours")
+				b.ReportMetric(float64(result.Moves), "moves")
+				b.ReportMetric(float64(result.HostsMoved), "hosts-moved")
+				b.ReportMetric(result.Kept, "kept-%")
+				b.ReportMetric(float64(result.BudgetBreaks), "budget-breaks")
+				b.ReportMetric(float64(result.OverdueHosts), "overdue-hosts")
+				b.ReportMetric(float64(result.Maintained), "maintained")
+				b.ReportMetric(float64(result.Refused), "refused")
+			})
+		}
+	}
+}
+
+// TestMaintenance runs both users' seven weeks with faults over several seeds.
+func TestMaintenance(t *testing.T) {
+	for _, user := range []string{"co-operative", "isikbakim"} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%s/%d", user, seed), func(t *testing.T) {
+				_, fleet := Fleets(user)
+				faults := MaintenanceFaults{FailuresPerDay: 0.5, RackFails: seed == 1, CutOff: seed == 2}
+				result := RunMaintenance(fleet, maintenance.PlanFor, faults, seed)
+				if result.BudgetBreaks > 0 || result.OverdueHosts > 0 || result.Maintained < len(fleet.Document.Hosts) {
+					t.Errorf("%+v", result)
+				}
+			})
+		}
+	}
+}
--- a/internal/state/budget.go
+++ b/internal/state/budget.go
@@ -25,22 +25,39 @@
 
 // Availability of a pool counts drains, reboots, failures and lost data centres.
 func (s *State) Availability(pool string) Availability {
-	a := Availability{UnavailableRacks: map[string]int{}}
+	a := Availability{}
 	for _, h := range s.Hosts {
-		if h.Pool != pool {
-			continue
+		if h.Pool == pool {
+			s.count(&a, h)
 		}
-		declared := s.Document.Hosts[h.Name]
-		a.Members++
-		if h.Phase != InService || s.DataCentres[declared.DataCentre].Lost {
-			a.UnavailableRacks[rackOf(declared)]++
-			continue
-		}
-		a.add(declared, 1)
 	}
 	return a
 }
 
+// Availabilities are those of all pools, in one pass over the hosts.
+func (s *State) Availabilities() map[string]Availability {
+	all := make(map[string]Availability, len(s.Document.Pools))
+	for _, h := range s.Hosts {
+		a := all[h.Pool]
+		s.count(&a, h)
+		all[h.Pool] = a
+	}
+	return all
+}
+
+func (s *State) count(a *Availability, h Host) {
+	declared := s.Document.Hosts[h.Name]
+	a.Members++
+	if h.Phase == InService && !s.DataCentres[declared.DataCentre].Lost {
+		a.add(declared, 1)
+		return
+	}
+	if a.UnavailableRacks == nil {
+		a.UnavailableRacks = map[string]int{}
+	}
+	a.UnavailableRacks[rackOf(declared)]++
+}
+
 // Without is the availability after taking one host that is in service out of it.
 func (a Availability) Without(h fleet.Host) Availability {
 	racks := make(map[string]int, len(a.UnavailableRacks)+1)
--- a/internal/state/fold_host.go
+++ b/internal/state/fold_host.go
@@ -51,11 +51,11 @@
 	switch h.Then {
 	case Hold, Reboot:
 		return h, nil
-	case Move:
+	case Move, Lend:
 		h.ToPool = action.GetToPool()
 		return h, s.destination(h, h.ToPool)
 	default:
-		return h, refuse("a drain must be for hold, reboot or move, not %q", h.Then)
+		return h, refuse("a drain must be for hold, reboot, move or lend, not %q", h.Then)
 	}
 }
 
@@ -147,6 +147,9 @@
 		return err
 	}
 	h.Pool = h.ToPool
+	if h.Then != Lend {
+		h.Home = h.Pool
+	}
 	s.setHost(h.backInService(at))
 	s.Version++
 	return nil
--- a/internal/state/fold_test.go
+++ b/internal/state/fold_test.go
@@ -52,7 +52,7 @@
 	case 0:
 		r.Body = &wire.Record_Patch{Patch: g.patch()}
 	case 1, 2:
-		action.Then = draw(g, []string{"hold", "reboot", "move"})
+		action.Then = draw(g, []string{"hold", "reboot", "move", "lend"})
 		action.ToPool = draw(g, poolNames)
 		r.Body = &wire.Record_Drain{Drain: action}
 	case 3:
--- a/internal/state/host.go
+++ b/internal/state/host.go
@@ -36,13 +36,17 @@
 	Reboot Purpose = "reboot"
 	// Move attaches the drained host to another pool.
 	Move Purpose = "move"
+	// Lend attaches the drained host to another pool for a while; its home stays.
+	Lend Purpose = "lend"
 )
 
 // Host is what the fold knows of a host.
 type Host struct {
 	Name string
 	// Pool is empty while the host moves.
-	Pool  string
+	Pool string
+	// Home is the pool that the host belongs to when it is not lent.
+	Home  string
 	Phase Phase
 	// Since is the offset of the record that began the phase.
 	Since uint64
--- a/internal/state/naive_test.go
+++ b/internal/state/naive_test.go
@@ -119,7 +119,8 @@
 	if h == nil || n.lost[n.document.Hosts[a.GetHost()].DataCentre] {
 		return false
 	}
-	if a.GetThen() == "move" && (n.document.Pools[a.GetToPool()] == (fleet.Pool{}) && !n.hasPool(a.GetToPool()) || a.GetToPool() == h.pool) {
+	moves := a.GetThen() == "move" || a.GetThen() == "lend"
+	if moves && (n.document.Pools[a.GetToPool()] == (fleet.Pool{}) && !n.hasPool(a.GetToPool()) || a.GetToPool() == h.pool) {
 		return false
 	}
 	hosts, slots, out, racks := 0, 0, 0, map[string]bool{}
@@ -142,7 +143,7 @@
 		return false
 	}
 	h.then, h.target = a.GetThen(), ""
-	if h.then == "move" {
+	if moves {
 		h.target = a.GetToPool()
 	}
 	return h.enter(Draining, at)
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -71,7 +71,7 @@
 func writeHost(h Host) *wire.Host {
 	return &wire.Host{
 		Name: h.Name, Pool: h.Pool, Phase: string(h.Phase), Since: h.Since, ToPool: h.ToPool,
-		SinceUnixMs: h.SinceTime.UnixMilli(), MaintainedUnixMs: h.Maintained.UnixMilli(), ConfirmedBy: h.Confirmed, Then: string(h.Then),
+		SinceUnixMs: h.SinceTime.UnixMilli(), MaintainedUnixMs: h.Maintained.UnixMilli(), ConfirmedBy: h.Confirmed, Then: string(h.Then), Home: h.Home,
 	}
 }
 
@@ -82,6 +82,7 @@
 		Maintained: time.UnixMilli(h.GetMaintainedUnixMs()).UTC(),
 		Confirmed:  h.GetConfirmedBy(),
 		Then:       Purpose(h.GetThen()),
+		Home:       h.GetHome(),
 	}
 }
 
