--- a/internal/cmd/cmd_plan.go
+++ b/internal/cmd/cmd_plan.go
@@ -1,8 +1,13 @@
 package cmd
 
 import (
+	"fmt"
 	"net/url"
 	"strconv"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/hornbeammast/hornbeammast/internal/coordination/maintenance"
 )
 
 // planCmd is `hornbeammast plan [--weeks N]`.
@@ -12,7 +17,35 @@
 	Weeks int `help:"Show the calendar of that many weeks too."`
 }
 
-// Run shows what the planner would do next.
+// Run shows what the planner of the entry host's data centre would do next.
 func (p *planCmd) Run(c *console) error {
-	return p.show(c, "/plan", url.Values{"weeks": {strconv.Itoa(p.Weeks)}})
+	query := url.Values{"weeks": {strconv.Itoa(p.Weeks)}}
+	if p.Output == "json" {
+		return p.show(c, "/plan", query)
+	}
+	var plan maintenance.Outlook
+	if err := p.get("/plan", query, &plan); err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintf(w, "data centre\t%s, planned by %s\n", plan.DataCentre, dash(plan.PlannedBy))
+	_, _ = fmt.Fprintf(w, "hosts\t%d due, %d overdue\n", plan.Due, plan.Overdue)
+	if !plan.NextWave.IsZero() {
+		_, _ = fmt.Fprintf(w, "next wave\t%s\n", plan.NextWave.Format("2006-01-02 15:04"))
+	}
+	_, _ = fmt.Fprintln(w, "\nNEXT\tHOST\tTO POOL\tBECAUSE")
+	for _, s := range plan.Proposals {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", s.Action, dash(s.Host), dash(s.ToPool), s.Reason)
+	}
+	_, _ = fmt.Fprintln(w, "\nWAITS\tHOST\tFOR")
+	for _, s := range plan.Waits {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\n", dash(s.Pool), dash(s.Host), s.Reason)
+	}
+	for n, week := range plan.Calendar {
+		if n == 0 {
+			_, _ = fmt.Fprintln(w, "\nWEEK FROM\tHOSTS\tTO BE MAINTAINED IN IT AT THE LATEST")
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%s\n", week.Begins.Format("2006-01-02"), len(week.Hosts), dash(strings.Join(week.Hosts, " ")))
+	}
+	return w.Flush()
 }
--- a/internal/coordination/dispatch/truth_test.go
+++ b/internal/coordination/dispatch/truth_test.go
@@ -31,7 +31,6 @@
 	random  *rand.Rand
 	runs    map[string]int
 	running map[netip.AddrPort]int
-	silent  map[netip.AddrPort]bool
 	entries map[string]*Dispatcher
 	claims  map[string]*claim.Claims
 	names   []string
--- a/internal/coordination/maintenance/planner.go
+++ b/internal/coordination/maintenance/planner.go
@@ -79,6 +79,10 @@
 		p.plan.wait("", "", reason)
 		return p.plan
 	}
+	if !p.waveUnderWay() {
+		p.plan.wait("", "", "no host is near the end of its interval")
+		return p.plan
+	}
 	p.look()
 	if p.stopped() {
 		return p.plan
@@ -116,18 +120,17 @@
 	for name, declared := range p.s.Document.Pools {
 		p.pools[name] = &poolView{name: name, budget: declared.Budget, spare: declared.Spare, after: availabilities[name]}
 	}
-	wave := p.waveUnderWay()
 	for _, h := range p.s.Hosts {
-		p.place(h, wave)
+		p.place(h)
 	}
 	p.lanes = p.laneCount()
 }
 
-func (p *planner) place(h state.Host, wave bool) {
+func (p *planner) place(h state.Host) {
 	declared := p.s.Document.Hosts[h.Name]
 	m := member{Host: h, declared: declared, local: declared.DataCentre == p.dc, age: p.now.Sub(h.Maintained)}
 	m.lent = h.Home != h.Pool && h.Pool != "" || h.Then == state.Lend
-	m.due = wave && h.Phase == state.InService && m.age >= p.interval/2
+	m.due = h.Phase == state.InService && m.age >= p.interval/2
 	if m.lent {
 		p.lentNow++
 		if to, ok := p.pools[h.ToPool]; ok {
--- /dev/null
+++ b/internal/coordination/maintenance/planner_bench_test.go
@@ -0,0 +1,49 @@
+package maintenance_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hornbeammast/hornbeammast/internal/coordination/maintenance"
+	"github.com/hornbeammast/hornbeammast/internal/emulator"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
+	"github.com/hornbeammast/hornbeammast/internal/state"
+)
+
+// declared is the state of a fleet after its declaration.
+func declared(tb testing.TB, fleet emulator.Fleet) *state.State {
+	tb.Helper()
+	body, err := json.Marshal(fleet.Document)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	patch := &wire.Patch{Format: wire.PatchFormat_PATCH_FORMAT_MERGE_PATCH, Document: body}
+	s, outcome, err := state.Apply(state.New(), 0, &wire.Record{Id: "begin", Rules: 1, Body: &wire.Record_Patch{Patch: patch}})
+	if err != nil || !outcome.Accepted {
+		tb.Fatal(outcome, err)
+	}
+	for n, dc := range fleet.DataCentres {
+		members := &wire.Members{EntryHosts: []string{dc + "-1", dc + "-2"}}
+		s, _, err = state.Apply(s, uint64(n+1), &wire.Record{Id: dc, Rules: 1, DataCentre: dc, Body: &wire.Record_Members{Members: members}})
+		if err != nil {
+			tb.Fatal(err)
+		}
+	}
+	return s
+}
+
+// BenchmarkPlan plans in the middle of a wave, when everything is due.
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range []emulator.Fleet{emulator.TargetPart(50, 17), emulator.TargetPart(293, 100), emulator.TargetPart(880, 302)} {
+		s := declared(b, size)
+		now := time.Unix(0, 0).Add(size.Document.Maintenance.Interval.Std())
+		b.Run(fmt.Sprintf("hosts=%d", len(s.Hosts)), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				maintenance.PlanFor(s, "dc0", nil, now)
+			}
+		})
+	}
+}
--- a/internal/coordination/maintenance/wave.go
+++ b/internal/coordination/maintenance/wave.go
@@ -96,14 +96,28 @@
 func (p *planner) wanting() []*poolView {
 	found := []*poolView{}
 	for _, view := range p.order {
-		stuck := view.due > 0 && view.out == 0 && view.lent == 0 && view.arriving == 0
-		if stuck && !view.spare && p.goodTime(view) {
+		helped := view.out > 0 || view.lent > 0 || view.arriving > 0
+		if !view.spare && !helped && view.stuck() && p.goodTime(view) {
 			found = append(found, view)
 		}
 	}
 	return found
 }
 
+// stuck tells whether the budget keeps every due host of the pool, in any data
+// centre, from leaving.
+func (v *poolView) stuck() bool {
+	if v.due == 0 {
+		return false
+	}
+	for _, m := range v.members {
+		if m.due && v.after.Without(m.declared).Breach(v.budget) == "" {
+			return false
+		}
+	}
+	return true
+}
+
 // sendOn takes a lent host straight to the next pool that wants one, or home.
 func (p *planner) sendOn(from *poolView, m member, wanting []*poolView) []*poolView {
 	after := from.after.Without(m.declared)
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -103,3 +103,8 @@
 		Pool:    pool, Slots: hostSlots, Processors: 32, MemoryGB: 128,
 	}
 }
+
+// TargetPart is a fleet in the target's shape with fewer hosts and pools.
+func TargetPart(hosts, pools int) Fleet {
+	return build(shape{"target-part", 6, hosts, pools, 1, 0, max(hosts/24, 1), weights{1, 1, 1, 1}})
+}
--- a/internal/entryhost/loops.go
+++ b/internal/entryhost/loops.go
@@ -37,6 +37,7 @@
 	e.every(ctx, snapshotInterval, e.snapshot)
 	e.every(ctx, kickInterval, func(context.Context) { e.dispatcher.Kick() })
 	e.every(ctx, stepInterval, e.renewLease)
+	e.every(ctx, planInterval, e.carryOut)
 }
 
 func (e *EntryHost) loop(run func()) {
--- a/internal/entryhost/operator_handler.go
+++ b/internal/entryhost/operator_handler.go
@@ -158,6 +158,3 @@
 	}
 	return 0
 }
-
-// Plan tells what the planner would do.
-func (o operatorHandler) Plan(int) any { return struct{}{} }
--- a/internal/eventlog/event_log.go
+++ b/internal/eventlog/event_log.go
@@ -16,21 +16,22 @@
 
 // levels are the events that are not of level info.
 var levels = map[string]logrus.Level{
-	"log-unreachable":     logrus.WarnLevel,
-	"log-gap":             logrus.WarnLevel,
-	"restore-begun":       logrus.WarnLevel,
-	"record-unreadable":   logrus.ErrorLevel,
-	"snapshot-unreadable": logrus.ErrorLevel,
-	"snapshot-failed":     logrus.WarnLevel,
-	"announce-failed":     logrus.WarnLevel,
-	"peer-unreachable":    logrus.WarnLevel,
-	"report-unconfirmed":  logrus.WarnLevel,
-	"restore-unconfirmed": logrus.WarnLevel,
-	"step-unconfirmed":    logrus.WarnLevel,
-	"step-refused":        logrus.DebugLevel,
-	"reboot-failed":       logrus.WarnLevel,
-	"drain-given-back":    logrus.WarnLevel,
-	"fatal":               logrus.ErrorLevel,
+	"log-unreachable":      logrus.WarnLevel,
+	"log-gap":              logrus.WarnLevel,
+	"restore-begun":        logrus.WarnLevel,
+	"record-unreadable":    logrus.ErrorLevel,
+	"snapshot-unreadable":  logrus.ErrorLevel,
+	"snapshot-failed":      logrus.WarnLevel,
+	"announce-failed":      logrus.WarnLevel,
+	"peer-unreachable":     logrus.WarnLevel,
+	"report-unconfirmed":   logrus.WarnLevel,
+	"restore-unconfirmed":  logrus.WarnLevel,
+	"step-unconfirmed":     logrus.WarnLevel,
+	"step-refused":         logrus.DebugLevel,
+	"reboot-failed":        logrus.WarnLevel,
+	"drain-given-back":     logrus.WarnLevel,
+	"proposal-unconfirmed": logrus.WarnLevel,
+	"fatal":                logrus.ErrorLevel,
 }
 
 // New makes a log that writes to w from a level on.
--- a/internal/processtest/cluster_test.go
+++ b/internal/processtest/cluster_test.go
@@ -34,7 +34,7 @@
 }
 
 // build builds the program once for all tests.
-func build(t *testing.T) string {
+func build(t testing.TB) string {
 	t.Helper()
 	if testing.Short() {
 		t.Skip("starts processes")
@@ -66,7 +66,7 @@
 	seen chan string
 }
 
-func start(t *testing.T, name string, args ...string) *process {
+func start(t testing.TB, name string, args ...string) *process {
 	t.Helper()
 	p := &process{name: name, cmd: exec.Command(build(t), args...), seen: make(chan string, 1024)}
 	out, in := io.Pipe()
@@ -107,7 +107,7 @@
 }
 
 // line waits for a line with a text in it.
-func (p *process) line(t *testing.T, text string) string {
+func (p *process) line(t testing.TB, text string) string {
 	t.Helper()
 	timeout := time.After(patience)
 	for {
@@ -141,7 +141,7 @@
 
 // cluster is a stand-in, workers, and two entry hosts in each of two data centres.
 type cluster struct {
-	t        *testing.T
+	t        testing.TB
 	standin  *process
 	platform string
 	workers  map[string]string
@@ -160,9 +160,15 @@
 		c.workers[name] = address
 	}
 	c.platform = strings.TrimPrefix(c.standin.line(t, "platform"), "platform ")
-	for n := range 4 {
-		dataCentre := []string{"gilgit", "thatta"}[n/2]
-		e := &entry{link: newRelay(t, c.platform)}
+	c.launchAll("gilgit", "gilgit", "thatta", "thatta")
+	return c
+}
+
+// launchAll starts an entry host in each of the data centres and waits until all serve.
+func (c *cluster) launchAll(dataCentres ...string) {
+	c.t.Helper()
+	for n, dataCentre := range dataCentres {
+		e := &entry{link: newRelay(c.t, c.platform)}
 		e.settings = c.writeSettings(fmt.Sprintf("e%d", n), dataCentre, e.link.address())
 		c.entries = append(c.entries, e)
 		c.launch(e)
@@ -173,7 +179,6 @@
 			return err == nil && s.Refusing == ""
 		})
 	}
-	return c
 }
 
 func (c *cluster) writeSettings(name, dataCentre, platform string, peers ...string) string {
--- a/internal/processtest/relay_test.go
+++ b/internal/processtest/relay_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 )
 
@@ -15,9 +16,11 @@
 	mu    sync.Mutex
 	isCut bool
 	conns map[net.Conn]struct{}
+	// carried counts the bytes in both directions.
+	carried atomic.Int64
 }
 
-func newRelay(t *testing.T, target string) *relay {
+func newRelay(t testing.TB, target string) *relay {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -59,8 +62,8 @@
 			}
 			continue
 		}
-		go pipe(in, out)
-		go pipe(out, in)
+		go r.pipe(in, out)
+		go r.pipe(out, in)
 	}
 }
 
@@ -76,8 +79,16 @@
 	return true
 }
 
-func pipe(from, to net.Conn) {
-	_, _ = io.Copy(to, from)
+func (r *relay) pipe(from, to net.Conn) {
+	_, _ = io.Copy(to, io.TeeReader(from, counter{&r.carried}))
 	_ = from.Close()
 	_ = to.Close()
 }
+
+// counter counts what is written to it.
+type counter struct{ n *atomic.Int64 }
+
+func (c counter) Write(p []byte) (int, error) {
+	c.n.Add(int64(len(p)))
+	return len(p), nil
+}
--- /dev/null
+++ b/internal/processtest/wave_test.go
@@ -0,0 +1,42 @@
+package processtest
+
+import (
+	"net/http"
+	"testing"
+)
+
+// TestWave lets the planners of both data centres race: every host is
+// rebooted once in its interval, and the budget holds all the while.
+func TestWave(t *testing.T) {
+	c := newCluster(t)
+	c.configure()
+	before := map[string]bool{}
+	s, err := c.status(c.entries[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, h := range s.Hosts {
+		before[h.Name+h.Maintained.String()] = true
+	}
+	body := `{"maintenance":{"enabled":true,"interval":"24s"}}`
+	if status, outcome := c.change(c.entries[0], "/config/patch?format=merge-patch&base=1", body); status != http.StatusOK {
+		t.Fatalf("patch: %d %+v", status, outcome)
+	}
+	c.eventually("every host was maintained", func() bool {
+		s, err := c.status(c.entries[3])
+		if err != nil {
+			return false
+		}
+		for _, p := range s.Pools {
+			if p.Breach != "" {
+				t.Fatalf("pool %s: %s", p.Name, p.Breach)
+			}
+		}
+		for _, h := range s.Hosts {
+			if before[h.Name+h.Maintained.String()] {
+				return false
+			}
+		}
+		return true
+	})
+}
