Daemon: work only when something changed

The tables in force were made anew four times a second though nothing had changed, and the executor counted each pool's availability with a pass over all hosts (302 passes over 880 hosts, four times a second).

Change: tables are made anew only for a new state or a live list that shows a host in another state; availabilities come from one pass; the executor's list of hosts from the document. Messages and settings that nothing used yet (borrowing slots, on-drain) are gone.

--- a/internal/coordination/maintenance/executor.go
+++ b/internal/coordination/maintenance/executor.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"github.com/hornbeammast/hornbeammast/internal/protocol/fleet"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/platformapi"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
 	"github.com/hornbeammast/hornbeammast/internal/state"
@@ -55,6 +56,9 @@
 	lostBound time.Duration
 	downSince map[string]time.Time
 	lostSince map[string]time.Time
+
+	listedFor *fleet.Document
+	local     []string
 }
 
 // ExecutorOption changes an Executor.
@@ -85,10 +89,7 @@
 		return
 	}
 	s := e.submitter.State()
-	for _, name := range s.HostNames() {
-		if s.Document.Hosts[name].DataCentre != e.dataCentre {
-			continue
-		}
+	for _, name := range e.localHosts(s) {
 		if record := e.hostStep(ctx, s, s.Hosts[name], now); record != nil {
 			e.submit(ctx, record)
 		}
@@ -97,6 +98,21 @@
 	e.watchDataCentres(ctx, s, now)
 }
 
+// localHosts lists the data centre's hosts; it is made anew when the document changes.
+func (e *Executor) localHosts(s *state.State) []string {
+	if e.listedFor == s.Document {
+		return e.local
+	}
+	e.listedFor = s.Document
+	e.local = nil
+	for _, name := range s.HostNames() {
+		if s.Document.Hosts[name].DataCentre == e.dataCentre {
+			e.local = append(e.local, name)
+		}
+	}
+	return e.local
+}
+
 // hostStep is the record that takes a host further, nil if it must wait.
 func (e *Executor) hostStep(ctx context.Context, s *state.State, h state.Host, now time.Time) *wire.Record {
 	if record := e.watchHost(h, now); record != nil {
@@ -171,8 +187,8 @@
 // taken the pool's budget, the newest first.
 func (e *Executor) giveBack(ctx context.Context) {
 	s := e.submitter.State()
-	for pool, declared := range s.Document.Pools {
-		if s.Availability(pool).Breach(declared.Budget) == "" {
+	for pool, availability := range s.Availabilities() {
+		if availability.Breach(s.Document.Pools[pool].Budget) == "" {
 			continue
 		}
 		h, ok := newestDrain(s, pool)
--- a/internal/coordination/member/directory.go
+++ b/internal/coordination/member/directory.go
@@ -25,6 +25,7 @@
 	hosts      map[string]platformapi.Host
 	lastSeen   map[string]time.Time
 	began      time.Time
+	changes    int
 }
 
 // NewDirectory makes an empty directory for an entry host.
@@ -47,10 +48,23 @@
 		d.entryHosts[e.Name] = e
 		d.lastSeen[e.Name] = now
 	}
-	d.hosts = make(map[string]platformapi.Host, len(list.Hosts))
+	hosts := make(map[string]platformapi.Host, len(list.Hosts))
+	changed := len(list.Hosts) != len(d.hosts)
 	for _, h := range list.Hosts {
-		d.hosts[h.Name] = h
+		hosts[h.Name] = h
+		changed = changed || d.hosts[h.Name].State != h.State
 	}
+	d.hosts = hosts
+	if changed {
+		d.changes++
+	}
+}
+
+// Changes counts the lists that showed an upstream host in another state than before.
+func (d *Directory) Changes() int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.changes
 }
 
 // Learn takes entry hosts that a peer knows of, as long as the platform's own
--- a/internal/entryhost/entry_host.go
+++ b/internal/entryhost/entry_host.go
@@ -54,6 +54,8 @@
 	executor   *maintenance.Executor
 	history    *history
 	lease      *lease
+	// applied is guarded by the lease's lock.
+	applied appliedView
 
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
--- a/internal/entryhost/loops.go
+++ b/internal/entryhost/loops.go
@@ -6,6 +6,7 @@
 
 	"github.com/hornbeammast/hornbeammast/internal/coordination/slot"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/platformapi"
+	"github.com/hornbeammast/hornbeammast/internal/state"
 )
 
 const (
@@ -78,12 +79,21 @@
 	e.lease.mu.Lock()
 	defer e.lease.mu.Unlock()
 	s := e.follower.State()
-	e.history.note(s)
-	e.table.Update(slot.Views(s, e.settings.DataCentre, e.settings.Name, e.directory), s.Position)
-	e.dispatcher.Update(s)
+	if view := (appliedView{s, e.directory.Changes()}); view != e.applied {
+		e.applied = view
+		e.history.note(s)
+		e.table.Update(slot.Views(s, e.settings.DataCentre, e.settings.Name, e.directory), s.Position)
+		e.dispatcher.Update(s)
+	}
 	e.lease.judge(s, e.settings.DataCentre, e.settings.Name, e.follower.Ready())
 }
 
+// appliedView is what the tables in force were made from.
+type appliedView struct {
+	state       *state.State
+	listChanges int
+}
+
 func (e *EntryHost) announce(ctx context.Context) {
 	err := e.platform.Announce(ctx, platformapi.EntryHost{
 		Name: e.settings.Name, Incarnation: e.incarnation, DataCentre: e.settings.DataCentre,
--- a/internal/entryhost/peer_handler.go
+++ b/internal/entryhost/peer_handler.go
@@ -64,9 +64,6 @@
 	}
 }
 
-// Lend lends nothing.
-func (p peerHandler) Lend(*wire.BorrowRequest) *wire.BorrowReply { return &wire.BorrowReply{} }
-
 // joiner asks the holder of a claim for the answer.
 type joiner struct{ peers *peer.Client }
 
--- a/internal/protocol/fleet/document.go
+++ b/internal/protocol/fleet/document.go
@@ -69,8 +69,6 @@
 	Accelerators int `json:"accelerators,omitempty"`
 	// RunTime is the declared run time, a hint only.
 	RunTime Duration `json:"run-time,omitempty"`
-	// OnDrain says what a drain does with running work.
-	OnDrain string `json:"on-drain,omitempty"`
 }
 
 // Team is a group of callers with a quota.
@@ -184,9 +182,6 @@
 		if k.MaxQueue < 0 {
 			return errors.Newf("kind %q: max-queue must not be negative", name)
 		}
-		if !slices.Contains([]string{"", "wait", "checkpoint", "stop"}, k.OnDrain) {
-			return errors.Newf("kind %q: on-drain must be wait, checkpoint or stop", name)
-		}
 		guaranteed[k.Pools[0]] += k.Guarantee
 	}
 	for _, pool := range sortedKeys(guaranteed) {
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -162,8 +162,3 @@
 func (c *Client) Join(ctx context.Context, name string, key claim.Key) (*wire.JoinReply, error) {
 	return callLong(ctx, c, name, wire.DRPCPeerClient.Join, &wire.JoinRequest{Key: key[:]})
 }
-
-// Borrow asks a peer of the data centre to lend slots of a worker.
-func (c *Client) Borrow(ctx context.Context, name string, request *wire.BorrowRequest) (*wire.BorrowReply, error) {
-	return call(ctx, c, name, wire.DRPCPeerClient.Borrow, request)
-}
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -28,8 +28,6 @@
 	ClaimHere(ctx context.Context, c *wire.Claim) (claim.Result, error)
 	// JoinHere waits for a request in flight here.
 	JoinHere(ctx context.Context, key claim.Key) *wire.JoinReply
-	// Lend lends slots of a worker.
-	Lend(request *wire.BorrowRequest) *wire.BorrowReply
 }
 
 // Server answers peers.
@@ -116,7 +114,3 @@
 	}
 	return s.handler.JoinHere(ctx, key), nil
 }
-
-func (s service) Borrow(_ context.Context, request *wire.BorrowRequest) (*wire.BorrowReply, error) {
-	return s.handler.Lend(request), nil
-}
