Ejection compares a host with the others; follower and fuzz tests

Cause: tests of the choice of hosts found two faults. A host back from an ejection was ejected again by its old failure rate after one good answer, because results of work begun before the ejection went on counting. A caller that fails everywhere ejected hosts while the pool's own rate, which followed slowly, was still low.

Change: results are not counted while a host is ejected; a host is compared with the mean rate of the others, at the rare time when it is about to be ejected.

--- a/internal/coordination/balance/pool.go
+++ b/internal/coordination/balance/pool.go
@@ -15,13 +15,11 @@
 
 // Pool is the hosts of one pool that this entry host may use.
 type Pool struct {
-	mu     sync.Mutex
-	hosts  []*Host
-	random *rand.Rand
-	// failureRate is that of the whole pool.
-	failureRate float64
-	capacity    int
-	inFlight    int
+	mu       sync.Mutex
+	hosts    []*Host
+	random   *rand.Rand
+	capacity int
+	inFlight int
 }
 
 func newPool(random *rand.Rand) *Pool {
@@ -92,14 +90,13 @@
 	p := h.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h.note(failed)
 	h.lastAnswer = now
-	result := 0.0
-	if failed {
-		result = 1
+	if now.Before(h.ejectedUntil) {
+		// What was under way when the host was ejected says nothing new.
+		return false
 	}
-	p.failureRate += failureWeight / float64(max(len(p.hosts), 1)) * (result - p.failureRate)
-	if h.results < minResults || h.failureRate < ejectAbove || h.failureRate < p.failureRate+ejectOverPool {
+	h.note(failed)
+	if h.results < minResults || h.failureRate < ejectAbove || h.failureRate < p.othersRate(h)+ejectOverPool {
 		return false
 	}
 	if float64(p.ejected(now)+1) > maxEjected*float64(len(p.hosts)) {
@@ -109,6 +106,18 @@
 	return true
 }
 
+// othersRate is the mean failure rate of the other hosts.
+func (p *Pool) othersRate(h *Host) float64 {
+	sum, n := 0.0, 0
+	for _, other := range p.hosts {
+		if other != h {
+			sum += other.failureRate
+			n++
+		}
+	}
+	return sum / float64(max(n, 1))
+}
+
 func (p *Pool) ejected(now time.Time) int {
 	n := 0
 	for _, h := range p.hosts {
--- /dev/null
+++ b/internal/coordination/follower/follower_test.go
@@ -0,0 +1,228 @@
+package follower
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
+	"github.com/hornbeammast/hornbeammast/internal/standin"
+	"github.com/hornbeammast/hornbeammast/internal/state"
+)
+
+// crowd is a number of followers of one log that can ask each other.
+type crowd struct {
+	t   *testing.T
+	log *standin.MemoryLog
+	mu  sync.Mutex
+	all map[string]*Follower
+	end map[string]context.CancelFunc
+}
+
+func newCrowd(t *testing.T) *crowd {
+	t.Helper()
+	return &crowd{t: t, log: standin.NewMemoryLog(time.Millisecond), all: map[string]*Follower{}, end: map[string]context.CancelFunc{}}
+}
+
+// peersOf answers for all followers but one.
+type peersOf struct {
+	c    *crowd
+	self string
+}
+
+func (p peersOf) States(_ context.Context, above uint64, _ bool) []*wire.Snapshot {
+	p.c.mu.Lock()
+	defer p.c.mu.Unlock()
+	found := []*wire.Snapshot{}
+	for name, f := range p.c.all {
+		if s := f.State(); name != p.self && f.Ready() && !s.Restoring && s.Position > above {
+			found = append(found, s.Snapshot())
+		}
+	}
+	return found
+}
+
+func (c *crowd) start(name string) *Follower {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := New(c.log, peersOf{c, name}, Identity{Name: name, Incarnation: "1", DataCentre: "a"}, WithRestoreWait(5*time.Second))
+	c.mu.Lock()
+	c.all[name], c.end[name] = f, cancel
+	c.mu.Unlock()
+	go func() {
+		if err := f.Run(ctx); err != nil {
+			c.t.Error(err)
+		}
+	}()
+	go func() {
+		for ctx.Err() == nil {
+			_ = f.Restore(ctx, nil)
+			pause(ctx, time.Second)
+		}
+	}()
+	return f
+}
+
+func (c *crowd) stop(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.end[name]()
+	delete(c.all, name)
+}
+
+func (c *crowd) stopAll() {
+	for name := range c.end {
+		c.stop(name)
+	}
+	synctest.Wait()
+}
+
+// sameState waits a while and compares all followers.
+func (c *crowd) sameState() *state.State {
+	c.t.Helper()
+	time.Sleep(time.Minute)
+	var first *state.State
+	for name, f := range c.all {
+		s := f.State()
+		if first == nil {
+			first = s
+		}
+		if diff := cmp.Diff(fmt.Sprint(first.Snapshot()), fmt.Sprint(s.Snapshot())); diff != "" {
+			c.t.Errorf("%s differs:\n%s", name, diff)
+		}
+	}
+	return first
+}
+
+func patch(base uint64, document string) *wire.Record {
+	return &wire.Record{Body: &wire.Record_Patch{Patch: &wire.Patch{
+		BaseVersion: base, Format: wire.PatchFormat_PATCH_FORMAT_MERGE_PATCH, Document: []byte(document),
+	}}}
+}
+
+func submit(t *testing.T, f *Follower, r *wire.Record) state.Outcome {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	outcome, err := f.Submit(ctx, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return outcome
+}
+
+// TestSubmitOnce loses answers, refuses appends and lets others take effect
+// late: each submitted patch counts once, and racing ones win once.
+func TestSubmitOnce(t *testing.T) {
+	for seed := range uint64(10) {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCrowd(t)
+			random := rand.New(rand.NewPCG(seed, 3))
+			var mu sync.Mutex
+			c.log.SetFaults(func() standin.Fault {
+				mu.Lock()
+				defer mu.Unlock()
+				return []standin.Fault{standin.Refused, standin.AnswerLost, standin.LateEffect, 0, 0}[random.IntN(5)]
+			})
+			followers := []*Follower{c.start("e0"), c.start("e1"), c.start("e2")}
+			accepted := uint64(0)
+			for n := range 15 {
+				var racers sync.WaitGroup
+				base := accepted
+				for i, f := range followers {
+					racers.Add(1)
+					go func() {
+						defer racers.Done()
+						outcome := submit(t, f, patch(base, fmt.Sprintf(`{"teams":{"t%d-%d":{}}}`, n, i)))
+						if outcome.Accepted {
+							mu.Lock()
+							accepted++
+							mu.Unlock()
+						}
+					}()
+				}
+				racers.Wait()
+			}
+			c.log.SetFaults(func() standin.Fault { return standin.NoFault })
+			s := c.sameState()
+			if s.Version != accepted || len(s.Document.Teams) != int(accepted) {
+				t.Errorf("seed %d: %d were accepted, version %d, %d teams", seed, accepted, s.Version, len(s.Document.Teams))
+			}
+			c.stopAll()
+		})
+	}
+}
+
+// TestSnapshotStart starts a follower after the records have expired.
+func TestSnapshotStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCrowd(t)
+		old := c.start("e0")
+		submit(t, old, patch(0, `{"teams":{"a":{}}}`))
+		time.Sleep(time.Minute)
+		c.log.Log().Expire(time.Now())
+		if !old.SnapshotDue(context.Background()) {
+			t.Error("no snapshot is due though the log keeps none")
+		}
+		if err := old.AppendSnapshot(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		c.stop("e0")
+		fresh := c.start("e1")
+		time.Sleep(time.Second)
+		if s := fresh.State(); s.Version != 1 || !fresh.Ready() {
+			t.Errorf("version %d, ready %v", s.Version, fresh.Ready())
+		}
+		c.stopAll()
+	})
+}
+
+// TestLostLog expires the whole log while two followers hold different states
+// that nobody else has: both put theirs back, and the higher one is kept.
+func TestLostLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCrowd(t)
+		ahead := c.start("e0")
+		submit(t, ahead, &wire.Record{Body: &wire.Record_Members{Members: &wire.Members{EntryHosts: []string{"e0", "e1"}}}})
+		submit(t, ahead, patch(0, `{"teams":{"a":{}}}`))
+		behind := c.start("e1")
+		time.Sleep(10 * time.Second)
+		c.log.SetFaults(func() standin.Fault { return standin.Refused })
+		time.Sleep(10 * time.Second)
+		// Records that nobody alive has read are written and expire in the outage.
+		for range 3 {
+			c.log.Log().Append(ConfigStream, []byte{0xff})
+		}
+		c.log.Log().Expire(time.Now().Add(time.Hour))
+		c.log.SetFaults(func() standin.Fault { return standin.NoFault })
+		s := c.sameState()
+		if _, ok := s.Document.Teams["a"]; !ok || s.Restoring || s.Version <= 1 {
+			t.Errorf("the accepted patch is gone: version %d, restoring %v", s.Version, s.Restoring)
+		}
+		if outcome := submit(t, behind, patch(s.Version, `{"teams":{"c":{}}}`)); !outcome.Accepted {
+			t.Errorf("a patch after the restore was refused: %s", outcome.Message)
+		}
+		c.stopAll()
+	})
+}
+
+// TestPeerStart starts a follower while the log is away.
+func TestPeerStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCrowd(t)
+		old := c.start("e0")
+		submit(t, old, patch(0, `{"teams":{"a":{}}}`))
+		c.log.SetFaults(func() standin.Fault { return standin.Refused })
+		fresh := c.start("e1")
+		time.Sleep(5 * time.Second)
+		if !fresh.Ready() || fresh.State().Version != 1 || fresh.InContact() {
+			t.Errorf("ready %v, version %d, in contact %v", fresh.Ready(), fresh.State().Version, fresh.InContact())
+		}
+		c.stopAll()
+	})
+}
--- /dev/null
+++ b/internal/protocol/settings/settings_test.go
@@ -0,0 +1,66 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const good = `{
+  // A comment.
+  "name": "e", "data-centre": "d",
+  "caller-address": "127.0.0.1:1", "operator-address": "127.0.0.1:2",
+  "peer-address": "127.0.0.1:3", "platform-address": "127.0.0.1:4",
+%s}`
+
+// TestErrors gives each mistake the message that an operator sees.
+func TestErrors(t *testing.T) {
+	for extra, want := range map[string]string{
+		`"nmae": 1`:                             `line 6, column 1: unknown key "nmae"; see the settings page for the known ones`,
+		"  \"limits\": {\n    \"max-body\": 1}": `line 7, column 5: unknown key "max-body"; see the settings page for the known ones`,
+		`"claims": {"window": "40m"}`:           `claims: window must be at most half of log retention less max-timeout, here 20m0s`,
+		`"members": {"removal-bound": "1s"}`:    `members: removal-bound must be at least twice isolation-bound`,
+		`"limits": {"max-headers": -1}`:         `limits: max-headers must be above 0`,
+	} {
+		_, err := Parse([]byte(strings.Replace(good, "%s", extra, 1)))
+		if err == nil {
+			t.Errorf("%s was taken", extra)
+			continue
+		}
+		if diff := cmp.Diff(want, err.Error()); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", extra, diff)
+		}
+	}
+}
+
+// TestExamples reads the sample settings.
+func TestExamples(t *testing.T) {
+	paths, err := filepath.Glob("../../../examples/*/*-[0-9].json")
+	if err != nil || len(paths) == 0 {
+		t.Fatal("no examples", err)
+	}
+	for _, path := range paths {
+		if _, err := Load(path); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func FuzzSettings(f *testing.F) {
+	f.Add([]byte(strings.Replace(good, "%s", "", 1)))
+	f.Add([]byte(`{"name": /* open`))
+	paths, _ := filepath.Glob("../../../examples/*/*-[0-9].json")
+	for _, path := range paths {
+		if data, err := os.ReadFile(path); err == nil {
+			f.Add(data)
+		}
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if s, err := Parse(data); err == nil && s.Validate() != nil {
+			t.Error("settings were taken that are not valid")
+		}
+	})
+}
