--- a/internal/cmd/cmd_patch.go
+++ b/internal/cmd/cmd_patch.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+	"github.com/tailscale/hujson"
 )
 
 // patchCmd is `hornbeammast patch --base VERSION [--format json-patch|merge-patch] [--dry-run] [FILE|-]`.
@@ -26,6 +27,10 @@
 	if err != nil {
 		return err
 	}
+	body, err = hujson.Standardize(body)
+	if err != nil {
+		return &exitError{exitUsage, errors.Wrap(err, "the patch is not JSON with comments")}
+	}
 	query := url.Values{"base": {strconv.FormatUint(p.Base, 10)}, "format": {p.Format}, "reason": {p.Reason}}
 	if p.DryRun {
 		query.Set("dry-run", "true")
--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -30,7 +30,7 @@
 	closed atomic.Bool
 	// refusal is why nothing is dispatched, nil while it serves.
 	refusal atomic.Pointer[string]
-	// lease is until when the entry host may dispatch; nil needs no lease.
+	// lease is until when the entry host may dispatch; nil before the first.
 	lease atomic.Pointer[time.Time]
 	// work counts requests that hold a slot.
 	work sync.WaitGroup
@@ -83,20 +83,13 @@
 	return ""
 }
 
-// Lease lets the entry host dispatch until a time by its monotonic clock; the
-// zero time lifts the bound. A process that was paused past its lease finds
-// out before it sends anything.
-func (d *Dispatcher) Lease(until time.Time) {
-	if until.IsZero() {
-		d.lease.Store(nil)
-		return
-	}
-	d.lease.Store(&until)
-}
+// Lease lets the entry host dispatch until a time by its monotonic clock. A
+// process that was paused past its lease finds out before it sends anything.
+func (d *Dispatcher) Lease(until time.Time) { d.lease.Store(&until) }
 
 func (d *Dispatcher) checkLease() error {
 	if until := d.lease.Load(); until != nil && !time.Now().Before(*until) {
-		return verdict.Refuse(verdict.CauseNotServing, "this entry host has lost the log and its peers and may not dispatch any more")
+		return verdict.Refuse(verdict.CauseNotServing, "this entry host has lost the platform and may not dispatch any more; try another")
 	}
 	return nil
 }
--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -71,10 +71,8 @@
 	current atomic.Pointer[state.State]
 	// ready is set once the state is fit to act on.
 	ready atomic.Bool
-	// contact is when the last successful read of the log began.
-	contact atomic.Int64
-	// caughtUp is when the last read began that found nothing newer.
-	caughtUp atomic.Int64
+	// caughtUp is when the last read began after which the state lacked nothing.
+	caughtUp atomic.Pointer[time.Time]
 	// snapshots belongs to the caller of SnapshotDue and AppendSnapshot.
 	snapshots snapshotAge
 
@@ -118,6 +116,7 @@
 		apply(f)
 	}
 	f.current.Store(state.New())
+	f.caughtUp.Store(&time.Time{})
 	return f
 }
 
@@ -128,11 +127,15 @@
 // log, or taken from a serving peer of the data centre, since the start.
 func (f *Follower) Ready() bool { return f.ready.Load() }
 
-// InContact tells whether the log was read lately.
+// InContact tells whether the log was read to its end lately.
 func (f *Follower) InContact() bool {
-	return time.Since(time.Unix(0, f.contact.Load())) < f.contactTime+f.readWait
+	return time.Since(f.CaughtUp()) < f.contactTime+f.readWait
 }
 
+// CaughtUp is a time such that the state has all that the log held then. It
+// carries the monotonic clock.
+func (f *Follower) CaughtUp() time.Time { return *f.caughtUp.Load() }
+
 // Changed closes when the state changes next.
 func (f *Follower) Changed() <-chan struct{} {
 	f.mu.Lock()
@@ -150,7 +153,6 @@
 			f.withoutLog(ctx, err)
 			continue
 		}
-		f.contact.Store(began.UnixNano())
 		if batch.First > f.State().Position {
 			f.bridgeGap(ctx, batch.First)
 			continue
@@ -159,7 +161,7 @@
 			return err
 		}
 		if f.State().Position >= batch.Next {
-			f.caughtUp.Store(began.UnixNano())
+			f.caughtUp.Store(&began)
 			f.markReady("log")
 		}
 	}
--- a/internal/coordination/follower/submit.go
+++ b/internal/coordination/follower/submit.go
@@ -58,8 +58,8 @@
 
 // lookFor waits until the log was read to its end after now, unless the record turns up first.
 func (f *Follower) lookFor(ctx context.Context, settled <-chan state.Outcome) (state.Outcome, bool) {
-	failed := time.Now().UnixNano()
-	for f.caughtUp.Load() <= failed {
+	failed := time.Now()
+	for !f.CaughtUp().After(failed) {
 		select {
 		case outcome := <-settled:
 			return outcome, true
--- a/internal/coordination/member/directory.go
+++ b/internal/coordination/member/directory.go
@@ -24,10 +24,16 @@
 	entryHosts map[string]platformapi.EntryHost
 	hosts      map[string]platformapi.Host
 	lastSeen   map[string]time.Time
-	began      time.Time
-	changes    int
+	// began is when the present run of lists began.
+	began   time.Time
+	changes int
 }
 
+// listGap is the longest time between two lists of one run. After a longer one
+// absence is counted anew: hosts that lived through an outage of the platform
+// need time to be listed again.
+const listGap = 5 * time.Second
+
 // NewDirectory makes an empty directory for an entry host.
 func NewDirectory(self, dataCentre string, now time.Time) *Directory {
 	return &Directory{
@@ -41,6 +47,9 @@
 func (d *Directory) Update(list platformapi.LiveList, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if now.Sub(d.refreshed) > listGap {
+		d.began = now
+	}
 	d.list = list
 	d.refreshed = now
 	d.entryHosts = make(map[string]platformapi.EntryHost, len(list.EntryHosts))
@@ -125,7 +134,7 @@
 		return false
 	}
 	seen, ok := d.lastSeen[name]
-	if !ok {
+	if !ok || seen.Before(d.began) {
 		seen = d.began
 	}
 	return d.refreshed.Sub(seen) >= bound && now.Sub(seen) >= bound
--- a/internal/coordination/member/reporter.go
+++ b/internal/coordination/member/reporter.go
@@ -92,7 +92,7 @@
 func (r *Reporter) members(d state.DataCentre, now time.Time) []string {
 	members := []string{}
 	for _, member := range d.Members {
-		if !r.directory.Absent(member, r.removalBound, now) {
+		if mayBelieveAlone(d, member) || !r.directory.Absent(member, r.removalBound, now) {
 			members = append(members, member)
 		}
 	}
@@ -105,6 +105,21 @@
 	return members
 }
 
+// mayBelieveAlone tells whether a member may not have seen yet that it has
+// company. Alone, it serves on however long it is cut off, so it is never
+// removed; a process under its name that confirms ends that.
+func mayBelieveAlone(d state.DataCentre, member string) bool {
+	if d.MembersConfirmed() {
+		return false
+	}
+	for _, members := range d.Former {
+		if len(members) == 1 && members[0] == member {
+			return true
+		}
+	}
+	return false
+}
+
 // due tells whether anything waits for positions.
 func (r *Reporter) due(s *state.State, d state.DataCentre, now time.Time) bool {
 	return len(s.Awaiting(r.dc)) > 0 || !d.MembersConfirmed() || now.Sub(r.reported) >= r.interval
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -159,8 +159,8 @@
 	s.Name, s.DataCentre = name, dataCentre
 	s.CallerAddress, s.OperatorAddress, s.PeerAddress = anyPort, anyPort, anyPort
 	s.PlatformAddress = d.platform.Address()
-	s.Members.IsolationBound = fleet.Duration(2 * time.Second)
-	s.Members.RemovalBound = fleet.Duration(4 * time.Second)
+	s.Members.IsolationBound = fleet.Duration(4 * time.Second)
+	s.Members.RemovalBound = fleet.Duration(8 * time.Second)
 	s.Log.Retention = fleet.Duration(time.Minute)
 	e, err := entryhost.Start(s, d.events)
 	if err != nil {
--- a/internal/entryhost/entry_host.go
+++ b/internal/entryhost/entry_host.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -54,6 +55,8 @@
 	executor   *maintenance.Executor
 	history    *history
 	lease      *lease
+	// announced is when the last announcement that the platform took began.
+	announced atomic.Pointer[time.Time]
 	// applied is guarded by the lease's lock.
 	applied appliedView
 
@@ -69,6 +72,7 @@
 		settings: s, incarnation: uuid.NewString(), events: events, began: time.Now(),
 		cancel: cancel, fatal: make(chan error, 1), history: newHistory(),
 	}
+	e.announced.Store(&time.Time{})
 	if err := e.build(ctx); err != nil {
 		e.closeTransports(context.Background())
 		cancel()
@@ -89,6 +93,7 @@
 	e.peers = peer.NewClient(e.directory, s.Name, s.DataCentre)
 	self := follower.Identity{Name: s.Name, Incarnation: e.incarnation, DataCentre: s.DataCentre}
 	e.follower = follower.New(e.platform, e.peers, self, follower.WithEvents(e.events),
+		follower.WithContactTime(contactTime(s.Members.IsolationBound.Std())),
 		follower.WithRetention(s.Log.Retention.Std()), follower.WithRestoreWait(s.Log.RestoreWait.Std()))
 	e.claims = claim.New(ctx, e.platform, e.directory, e.peers, s.Name, e.incarnation,
 		claim.WithStreams(s.Claims.Streams), claim.WithWindow(s.Claims.Window.Std()), claim.WithGroupWait(s.Claims.GroupWait.Std()))
@@ -102,6 +107,12 @@
 	return e.buildServers()
 }
 
+// contactTime is how long after its last answer the log counts as reached: well
+// below the lease, so that a cut-off data centre agrees in time that it is one.
+func contactTime(isolationBound time.Duration) time.Duration {
+	return min(isolationBound/4, 4*time.Second)
+}
+
 func (e *EntryHost) buildClients() error {
 	var err error
 	if e.platformHTTP, err = httpconn.New(httpconn.WithMaxAnswer(maxPlatformAnswer)); err != nil {
--- a/internal/entryhost/lease.go
+++ b/internal/entryhost/lease.go
@@ -9,8 +9,8 @@
 	"github.com/hornbeammast/hornbeammast/internal/state"
 )
 
-// lease decides whether the entry host may dispatch. One that reaches neither
-// the log nor a peer of its data centre stops before the others go on without it.
+// lease decides whether the entry host may dispatch. One that has lost the
+// platform stops before the others go on without it, unless they have lost it too.
 type lease struct {
 	dispatcher *dispatch.Dispatcher
 	bound      time.Duration
@@ -23,23 +23,19 @@
 	return &lease{dispatcher: dispatcher, bound: bound, renewed: now}
 }
 
-// renew notes a contact that began at a time.
-func (l *lease) renew(began time.Time) {
+// renew begins the lease anew at a time.
+func (l *lease) renew(at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if began.After(l.renewed) {
-		l.renewed = began
+	if at.After(l.renewed) {
+		l.renewed = at
 	}
 }
 
 // judge lets the dispatcher serve or stops it; mu is held.
 func (l *lease) judge(s *state.State, dataCentre, self string, ready bool) {
 	members := s.DataCentres[dataCentre].Members
-	until := time.Time{}
-	if len(members) > 1 {
-		until = l.renewed.Add(l.bound)
-	}
-	l.dispatcher.Lease(until)
+	l.dispatcher.Lease(l.renewed.Add(l.bound))
 	switch {
 	case l.dispatcher.Closed():
 	case !ready:
--- a/internal/entryhost/loops.go
+++ b/internal/entryhost/loops.go
@@ -95,11 +95,16 @@
 }
 
 func (e *EntryHost) announce(ctx context.Context) {
+	began := time.Now()
 	err := e.platform.Announce(ctx, platformapi.EntryHost{
 		Name: e.settings.Name, Incarnation: e.incarnation, DataCentre: e.settings.DataCentre,
 		PeerAddress: e.peerServer.Address(), State: e.liveness(),
 	})
-	if err != nil && ctx.Err() == nil {
+	if err == nil {
+		e.announced.Store(&began)
+		return
+	}
+	if ctx.Err() == nil {
 		e.events.Event("announce-failed", "error", err)
 	}
 }
@@ -178,23 +183,36 @@
 	}
 }
 
-// renewLease extends the right to dispatch while the log or a peer is reached.
+// renewLease extends the right to dispatch. The platform must have heard of
+// this entry host, so that nobody removes it before the lease ends, and the
+// tables in force must have all that the log held then.
 func (e *EntryHost) renewLease(ctx context.Context) {
+	heard := *e.announced.Load()
+	if caughtUp := e.follower.CaughtUp(); caughtUp.Before(heard) {
+		heard = caughtUp
+	}
 	began := time.Now()
-	if e.follower.InContact() || e.reachesPeer(ctx) {
-		e.lease.renew(began)
+	if !e.follower.InContact() && e.allCutOff(ctx) {
+		heard = began
 	}
 	e.apply()
+	e.lease.renew(heard)
+	e.apply()
 }
 
-func (e *EntryHost) reachesPeer(ctx context.Context) bool {
-	for _, other := range e.directory.EntryHosts(e.settings.DataCentre) {
-		if other.Name == e.settings.Name {
+// allCutOff tells whether every other member of the data centre answers and
+// has lost the log too: then none of them can have changed the members.
+func (e *EntryHost) allCutOff(ctx context.Context) bool {
+	if !e.follower.Ready() {
+		return false
+	}
+	for _, name := range e.follower.State().DataCentres[e.settings.DataCentre].Members {
+		if name == e.settings.Name {
 			continue
 		}
-		if _, err := e.peers.Report(ctx, other.Name); err == nil {
-			return true
+		if reply, err := e.peers.Report(ctx, name); err != nil || reply.GetInContact() {
+			return false
 		}
 	}
-	return false
+	return true
 }
--- a/internal/processtest/cluster_test.go
+++ b/internal/processtest/cluster_test.go
@@ -188,7 +188,7 @@
   "name": %q, "data-centre": %q,
   "caller-address": "127.0.0.1:0", "operator-address": "127.0.0.1:0", "peer-address": "127.0.0.1:0",
   "platform-address": %q, "peers": [%s],
-  "members": {"isolation-bound": "2s", "removal-bound": "5s", "fail-bound": "2s", "lost-bound": "3s"},
+  "members": {"isolation-bound": "4s", "removal-bound": "8s", "fail-bound": "2s", "lost-bound": "3s"},
 }`, name, dataCentre, platform, quoted(peers))
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		c.t.Fatal(err)
--- a/internal/processtest/path_test.go
+++ b/internal/processtest/path_test.go
@@ -94,33 +94,53 @@
 	}
 }
 
-// TestFreeze pauses an entry host until the others have gone on without it;
-// when it wakes, it must not act by what it knew.
+// TestFreeze pauses an entry host until the others have drained all hosts of
+// the data centre without it. Requests that wait in its socket reach it when
+// it wakes: it must not run them by what it knew.
 func TestFreeze(t *testing.T) {
 	c := newCluster(t)
 	c.configure()
+	body := `{"pools":{"maps":{"budget":{"min-available-hosts":3}}}}`
+	if status, outcome := c.change(c.entries[0], "/config/patch?format=merge-patch&base=1", body); status != http.StatusOK {
+		t.Fatalf("patch: %d %+v", status, outcome)
+	}
+	c.inForce(2, c.entries...)
 	frozen := c.entries[0]
 	frozen.signal(syscall.SIGSTOP)
+	const waiting = 20
+	answers := make(chan answer, waiting)
+	ids := []string{}
+	for n := range waiting {
+		id := newID(fmt.Sprintf("frozen-%d", n))
+		ids = append(ids, id)
+		go func() { answers <- c.request(frozen, id, true, "run-ms=1") }()
+	}
 	c.eventually("the frozen entry host is no member", func() bool {
 		s, err := c.status(c.entries[2])
 		return err == nil && len(s.DataCentres) == 2 && strings.Join(s.DataCentres[0].Members, " ") == "e1"
 	})
-	if status, outcome := c.change(c.entries[1], "/hosts/w0/move?to=spare", ""); status != http.StatusOK {
-		t.Fatalf("move: %d %+v", status, outcome)
+	for _, name := range []string{"w0", "w1", "w2"} {
+		if status, outcome := c.change(c.entries[1], "/hosts/"+name+"/drain", ""); status != http.StatusOK {
+			t.Fatalf("drain: %d %+v", status, outcome)
+		}
+		c.eventually(name+" is drained", func() bool { return c.host(c.entries[1], name).Phase == "drained" })
 	}
-	c.eventually("w0 has moved", func() bool { return c.host(c.entries[1], "w0").Pool == "spare" })
-	id := newID("frozen")
-	woken := make(chan answer, 1)
-	go func() { woken <- c.request(frozen, id, true, "run-ms=1") }()
 	frozen.signal(syscall.SIGCONT)
-	a := <-woken
-	if a.verdict == "not-run" && c.runs(id) != 0 {
-		t.Fatalf("said not-run and ran: %+v", a)
+	for range waiting {
+		if a := <-answers; a.err == nil && a.verdict != "not-run" {
+			t.Errorf("a woken entry host with no host in service answered %+v", a)
+		}
+	}
+	for _, id := range ids {
+		if n := c.runs(id); n != 0 {
+			t.Errorf("%s ran on a drained host", id)
+		}
+	}
+	if status, outcome := c.change(c.entries[1], "/hosts/w0/return", ""); status != http.StatusOK {
+		t.Fatalf("return: %d %+v", status, outcome)
 	}
 	c.eventually("the woken entry host serves again", func() bool {
-		s, err := c.status(frozen)
-		return err == nil && s.Refusing == "" && c.host(frozen, "w0").Pool == "spare" &&
-			c.request(frozen, newID("again"), true, "run-ms=1").status == http.StatusOK
+		return c.request(frozen, newID("again"), true, "run-ms=1").status == http.StatusOK
 	})
 }
 
--- a/internal/protocol/settings/settings.go
+++ b/internal/protocol/settings/settings.go
@@ -72,7 +72,7 @@
 
 // Members steers when an entry host counts as gone.
 type Members struct {
-	// IsolationBound is how long an entry host dispatches without the log and without peers.
+	// IsolationBound is how long an entry host dispatches after it lost the platform alone.
 	IsolationBound fleet.Duration `json:"isolation-bound,omitempty"`
 	// RemovalBound is how long one must be missing from the live list before others do without it.
 	RemovalBound fleet.Duration `json:"removal-bound,omitempty"`
--- a/internal/transport/httpconn/client.go
+++ b/internal/transport/httpconn/client.go
@@ -94,8 +94,9 @@
 	dialTimeout time.Duration
 	idleLimit   time.Duration
 
-	mu    sync.Mutex
-	pools map[netip.AddrPort]*pool
+	closing sync.Once
+	mu      sync.Mutex
+	pools   map[netip.AddrPort]*pool
 }
 
 // Option changes a Client.
@@ -142,8 +143,10 @@
 	}, nil
 }
 
-// Close ends the client and all its connections.
-func (c *Client) Close() {
+// Close ends the client and all its connections; a second call does nothing.
+func (c *Client) Close() { c.closing.Do(c.closeNow) }
+
+func (c *Client) closeNow() {
 	c.mu.Lock()
 	for _, p := range c.pools {
 		p.closeAll()
