--- a/internal/protocol/settings/settings_test.go
+++ b/internal/protocol/settings/settings_test.go
@@ -19,7 +19,7 @@
 // TestErrors gives each mistake the message that an operator sees.
 func TestErrors(t *testing.T) {
 	for extra, want := range map[string]string{
-		`"nmae": 1`:                             `line 6, column 1: unknown key "nmae"; see the settings page for the known ones`,
+		`"nam": 1`:                              `line 6, column 1: unknown key "nam"; see the settings page for the known ones`,
 		"  \"limits\": {\n    \"max-body\": 1}": `line 7, column 5: unknown key "max-body"; see the settings page for the known ones`,
 		`"claims": {"window": "40m"}`:           `claims: window must be at most half of log retention less max-timeout, here 20m0s`,
 		`"members": {"removal-bound": "1s"}`:    `members: removal-bound must be at least twice isolation-bound`,
