One pause, one declaration, nothing unused in a ticket

Cause: waiting for a time or a context's end stood four times, a fleet's declaration as a record three times; a ticket kept a time nobody read.

Change: internal/pause and emulator.Fleet.Declaration serve all.

--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -123,7 +123,7 @@
 		return false
 	}
 	t.ready = alreadyReady
-	q.grant(t, host, now)
+	q.grant(t, host)
 	return true
 }
 
@@ -153,16 +153,15 @@
 			full = append(full, k)
 			continue
 		}
-		q.grant(t, host, now)
+		q.grant(t, host)
 		close(t.ready)
 	}
 }
 
-func (q *Queue) grant(t *Ticket, host *balance.Host, now time.Time) {
+func (q *Queue) grant(t *Ticket, host *balance.Host) {
 	t.kind.start(t)
 	t.host = host
 	t.granted = true
-	t.began = now
 	q.onGrant(t)
 }
 
--- a/internal/coordination/admission/ticket.go
+++ b/internal/coordination/admission/ticket.go
@@ -30,7 +30,6 @@
 	// granted is set once the ticket has a slot.
 	granted bool
 	ready   chan struct{}
-	began   time.Time
 }
 
 // alreadyReady is the channel of tickets that never had to wait.
--- a/internal/coordination/claim/stream.go
+++ b/internal/coordination/claim/stream.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/hornbeammast/hornbeammast/internal/pause"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/platformapi"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
 )
@@ -88,7 +89,7 @@
 // flush appends what is pending, group after group, until nothing is left.
 func (s *stream) flush() {
 	for {
-		pause(s.options.ctx, s.options.groupWait)
+		_ = pause.For(s.options.ctx, s.options.groupWait)
 		group := s.takeGroup()
 		if len(group) == 0 {
 			return
@@ -99,7 +100,7 @@
 		}
 		if _, err := s.log.Append(s.options.ctx, s.name, data); err != nil {
 			s.putBack(group)
-			pause(s.options.ctx, s.options.retryPause)
+			_ = pause.For(s.options.ctx, s.options.retryPause)
 		}
 		if s.options.ctx.Err() != nil {
 			return
@@ -153,7 +154,7 @@
 		}
 		batch, err := s.log.Read(s.options.ctx, s.name, s.position, s.options.readWait)
 		if err != nil {
-			pause(s.options.ctx, s.options.retryPause)
+			_ = pause.For(s.options.ctx, s.options.retryPause)
 			continue
 		}
 		s.fold(batch)
@@ -223,10 +224,3 @@
 		return Result{Standing: Lost, Holder: held.claimant, Incarnation: held.incarnation}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/hornbeammast/hornbeammast/internal/pause"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/platformapi"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
 	"github.com/hornbeammast/hornbeammast/internal/state"
@@ -191,7 +192,7 @@
 	if f.adoptPeers(ctx, f.State().Position, true) {
 		f.markReady("peer")
 	}
-	pause(ctx, f.retryPause)
+	_ = pause.For(ctx, f.retryPause)
 }
 
 func (f *Follower) foldBatch(batch platformapi.Batch) error {
@@ -238,10 +239,3 @@
 	f.changed = make(chan struct{})
 	f.mu.Unlock()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/coordination/follower/follower_test.go
+++ b/internal/coordination/follower/follower_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/hornbeammast/hornbeammast/internal/pause"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
 	"github.com/hornbeammast/hornbeammast/internal/standin"
 	"github.com/hornbeammast/hornbeammast/internal/state"
@@ -62,7 +63,7 @@
 	go func() {
 		for ctx.Err() == nil {
 			_ = f.Restore(ctx, nil)
-			pause(ctx, time.Second)
+			_ = pause.For(ctx, time.Second)
 		}
 	}()
 	return f
--- a/internal/coordination/follower/gap.go
+++ b/internal/coordination/follower/gap.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/hornbeammast/hornbeammast/internal/pause"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/platformapi"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
 	"github.com/hornbeammast/hornbeammast/internal/state"
@@ -74,7 +75,7 @@
 		f.events.Event("log-gap", "position", f.State().Position, "first", first)
 	}
 	if time.Since(f.gapSince) < f.restoreWait {
-		pause(ctx, f.retryPause)
+		_ = pause.For(ctx, f.retryPause)
 		return
 	}
 	f.gapSince = time.Time{}
--- a/internal/coordination/maintenance/planner_bench_test.go
+++ b/internal/coordination/maintenance/planner_bench_test.go
@@ -1,7 +1,6 @@
 package maintenance_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -15,12 +14,7 @@
 // declared is the state of a fleet after its declaration.
 func declared(tb testing.TB, fleet emulator.Fleet) *state.State {
 	tb.Helper()
-	body, err := json.Marshal(fleet.Document)
-	if err != nil {
-		tb.Fatal(err)
-	}
-	patch := &wire.Patch{Format: wire.PatchFormat_PATCH_FORMAT_MERGE_PATCH, Document: body}
-	s, outcome, err := state.Apply(state.New(), 0, &wire.Record{Id: "begin", Rules: 1, Body: &wire.Record_Patch{Patch: patch}})
+	s, outcome, err := state.Apply(state.New(), 0, fleet.Declaration())
 	if err != nil || !outcome.Accepted {
 		tb.Fatal(outcome, err)
 	}
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -1,11 +1,14 @@
 package emulator
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/netip"
 	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/protocol/fleet"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
+	"github.com/hornbeammast/hornbeammast/internal/state"
 )
 
 const (
@@ -108,3 +111,13 @@
 func TargetPart(hosts, pools int) Fleet {
 	return build(shape{"target-part", 6, hosts, pools, 1, 0, max(hosts/24, 1), weights{1, 1, 1, 1}})
 }
+
+// Declaration is the record that declares the fleet.
+func (f Fleet) Declaration() *wire.Record {
+	body, err := json.Marshal(f.Document)
+	if err != nil {
+		panic(err)
+	}
+	patch := &wire.Patch{Format: wire.PatchFormat_PATCH_FORMAT_MERGE_PATCH, Document: body}
+	return &wire.Record{Id: "declaration", Rules: state.RulesVersion, Body: &wire.Record_Patch{Patch: patch}}
+}
--- a/internal/emulator/maintenance.go
+++ b/internal/emulator/maintenance.go
@@ -1,7 +1,6 @@
 package emulator
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -107,12 +106,7 @@
 
 // begin declares the fleet and the entry hosts.
 func (r *maintenanceRun) begin() {
-	body, err := json.Marshal(r.shape.Document)
-	if err != nil {
-		panic(err)
-	}
-	patch := &wire.Patch{Format: wire.PatchFormat_PATCH_FORMAT_MERGE_PATCH, Document: body}
-	if outcome := r.apply("", &wire.Record{Body: &wire.Record_Patch{Patch: patch}}); !outcome.Accepted {
+	if outcome := r.apply("", r.shape.Declaration()); !outcome.Accepted {
 		panic("the shape's document was refused: " + outcome.Message)
 	}
 	for _, dc := range r.shape.DataCentres {
--- a/internal/standin/memory_log.go
+++ b/internal/standin/memory_log.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hornbeammast/hornbeammast/internal/pause"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/platformapi"
 )
 
@@ -64,7 +65,7 @@
 
 // Append adds an entry.
 func (m *MemoryLog) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
-	if err := sleep(ctx, m.latency); err != nil {
+	if err := pause.For(ctx, m.latency); err != nil {
 		return 0, err
 	}
 	switch m.next() {
@@ -83,7 +84,7 @@
 
 // Read gives entries from an offset on and waits for the first one.
 func (m *MemoryLog) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (platformapi.Batch, error) {
-	if err := sleep(ctx, m.latency); err != nil {
+	if err := pause.For(ctx, m.latency); err != nil {
 		return platformapi.Batch{}, err
 	}
 	if m.next() == Refused {
@@ -105,15 +106,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
--- a/internal/state/bench_test.go
+++ b/internal/state/bench_test.go
@@ -1,7 +1,6 @@
 package state_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"testing"
 
@@ -12,12 +11,7 @@
 
 func declared(b *testing.B, fleet emulator.Fleet) *state.State {
 	b.Helper()
-	body, err := json.Marshal(fleet.Document)
-	if err != nil {
-		b.Fatal(err)
-	}
-	patch := &wire.Patch{Format: wire.PatchFormat_PATCH_FORMAT_MERGE_PATCH, Document: body}
-	s, outcome, err := state.Apply(state.New(), 0, &wire.Record{Id: "begin", Rules: 1, Body: &wire.Record_Patch{Patch: patch}})
+	s, outcome, err := state.Apply(state.New(), 0, fleet.Declaration())
 	if err != nil || !outcome.Accepted {
 		b.Fatal(outcome, err)
 	}
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -18,6 +18,7 @@
 
 	"github.com/hornbeammast/hornbeammast/internal/coordination/admission"
 	"github.com/hornbeammast/hornbeammast/internal/coordination/dispatch"
+	"github.com/hornbeammast/hornbeammast/internal/pause"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/verdict"
 	"github.com/hornbeammast/hornbeammast/internal/transport/httpconn"
 )
@@ -105,21 +106,14 @@
 // Close waits for the held requests until ctx ends, then stops.
 func (s *Server) Close(ctx context.Context) {
 	for s.held.Load() > 0 && ctx.Err() == nil {
-		pause(ctx, sweepInterval)
+		_ = pause.For(ctx, sweepInterval)
 	}
 	close(s.stop)
 	// The last answers may still be on their way out of the write buffers.
-	pause(ctx, sweepInterval)
+	_ = pause.For(ctx, sweepInterval)
 	s.http.Close()
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // ServeHTTP answers one request; /health is for the balancer.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
