The trace of one wave as a golden file

Cause: what a wave does step by step could only be read from figures.

Change: the emulator traces hosts' phases; a small fleet's wave with two lent hosts is compared with a golden file.

--- a/internal/emulator/maintenance.go
+++ b/internal/emulator/maintenance.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -81,14 +82,24 @@
 	asked, kept float64
 	disturbed   bool
 	sampled     time.Time
+	trace       io.Writer
 }
 
+// RunOption changes a run.
+type RunOption func(*maintenanceRun)
+
+// WithTrace writes a line for each accepted record that is about a host.
+func WithTrace(w io.Writer) RunOption { return func(r *maintenanceRun) { r.trace = w } }
+
 // RunMaintenance drives a planner over seven weeks.
-func RunMaintenance(shape Fleet, planner Planner, faults MaintenanceFaults, seed uint64) MaintenanceResult {
+func RunMaintenance(shape Fleet, planner Planner, faults MaintenanceFaults, seed uint64, opts ...RunOption) MaintenanceResult {
 	r := &maintenanceRun{
 		clock: newClock(), shape: shape, planner: planner, faults: faults,
 		random: rand.New(rand.NewPCG(seed, seed)), //nolint:gosec // An experiment.
-		s:      state.New(), moved: map[string]bool{}, overdue: map[string]bool{},
+		s:      state.New(), moved: map[string]bool{}, overdue: map[string]bool{}, trace: io.Discard,
+	}
+	for _, apply := range opts {
+		apply(r)
 	}
 	r.begin()
 	r.every(planInterval, r.plan)
@@ -133,10 +144,26 @@
 			r.result.BudgetBreaks++
 		}
 	}
+	r.note(r.s, next)
 	r.s = next
 	return outcome
 }
 
+// note traces the hosts that a record took into another phase or pool.
+func (r *maintenanceRun) note(before, after *state.State) {
+	if r.trace == io.Discard {
+		return
+	}
+	for _, name := range after.HostNames() {
+		h := after.Hosts[name]
+		if was, ok := before.Hosts[name]; !ok || was.Since == h.Since {
+			continue
+		}
+		_, _ = fmt.Fprintf(r.trace, "%s %s %s in %q, then %q, to %q\n",
+			r.clock.now.Format("01-02 15:04:05"), name, h.Phase, h.Pool, h.Then, h.ToPool)
+	}
+}
+
 func (r *maintenanceRun) every(d time.Duration, run func(time.Time)) {
 	r.clock.after(d, func(now time.Time) {
 		run(now)
--- a/internal/emulator/maintenance_test.go
+++ b/internal/emulator/maintenance_test.go
@@ -1,9 +1,14 @@
 package emulator
 
 import (
+	"bytes"
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/hornbeammast/hornbeammast/internal/coordination/maintenance"
 )
 
@@ -70,3 +75,29 @@
 		}
 	}
 }
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// TestWaveTrace compares the steps of one wave of a small fleet, in which two
+// spare hosts are lent from pool to pool, with its golden file.
+func TestWaveTrace(t *testing.T) {
+	const golden = "testdata/wave.golden"
+	small := build(shape{"small", 2, 10, 4, 2, 0, 2, weights{buffer: 1, moves: 1}})
+	var trace bytes.Buffer
+	result := RunMaintenance(small, maintenance.PlanFor, MaintenanceFaults{}, 1, WithTrace(&trace))
+	if result.BudgetBreaks > 0 || result.OverdueHosts > 0 || result.Maintained != len(small.Document.Hosts) {
+		t.Errorf("%+v", result)
+	}
+	if *update {
+		if err := os.WriteFile(golden, trace.Bytes(), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(golden)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), trace.String()); diff != "" {
+		t.Errorf("the wave differs (-golden +run); look, then run with -update:\n%s", diff)
+	}
+}
