--- a/internal/cmd/cmd_check.go
+++ b/internal/cmd/cmd_check.go
@@ -14,6 +14,13 @@
 type checkCmd struct {
 	Settings []string `help:"Settings files to check." type:"existingfile"`
 	Config   []string `help:"Whole configurations to check." type:"existingfile"`
+	Output   string   `help:"text or json." enum:"text,json" default:"text" short:"o"`
+}
+
+// checked is one file that is good.
+type checked struct {
+	File string `json:"file"`
+	Kind string `json:"kind"`
 }
 
 // Run checks files without asking anybody.
@@ -21,17 +28,24 @@
 	if len(k.Settings)+len(k.Config) == 0 {
 		return &exitError{exitUsage, errors.New("name a file with --settings or --config")}
 	}
+	good := []checked{}
 	for _, path := range k.Settings {
 		if _, err := settings.Load(path); err != nil {
 			return err
 		}
-		_, _ = fmt.Fprintln(c.out, path+": settings are good")
+		good = append(good, checked{path, "settings"})
 	}
 	for _, path := range k.Config {
 		if err := checkConfig(path); err != nil {
 			return errors.Wrap(err, path)
 		}
-		_, _ = fmt.Fprintln(c.out, path+": configuration is good")
+		good = append(good, checked{path, "configuration"})
+	}
+	if k.Output == "json" {
+		return printJSON(c, good)
+	}
+	for _, file := range good {
+		_, _ = fmt.Fprintf(c.out, "%s: %s is good\n", file.File, file.Kind)
 	}
 	return nil
 }
