--- a/internal/cmd/cmd_check.go
+++ b/internal/cmd/cmd_check.go
@@ -45,7 +45,7 @@
 		return printJSON(c, good)
 	}
 	for _, file := range good {
-		_, _ = fmt.Fprintf(c.out, "%s: %s is good\n", file.File, file.Kind)
+		_, _ = fmt.Fprintf(c.out, "%s: good %s\n", file.File, file.Kind)
 	}
 	return nil
 }
