Read through: one of each, and nothing done twice

Cause: reading the whole change once more. A host's being lent was decided in two places, and the name of a rack written in two packages; the lease's renewal made the tables in force twice; the maintenance driver counted each pool's hosts anew every hour, and the flood's clock was built for every arrival; the demo waited for all entry hosts once for each; three packages fixed the seed of their randomised tests by hand.

Change: maintenance.lent, state.RackOf, randomised.Main, an epoch, the slack counted once; renewLease applies once, since apply makes the tables from the newest state before it publishes the lease.

--- a/internal/coordination/admission/queue_test.go
+++ b/internal/coordination/admission/queue_test.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"flag"
 	"fmt"
 	"net/netip"
 	"os"
@@ -12,16 +11,10 @@
 
 	"github.com/hornbeammast/hornbeammast/internal/coordination/balance"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/verdict"
+	"github.com/hornbeammast/hornbeammast/internal/randomised"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(randomised.Main(m, "")) }
 
 var began = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
--- a/internal/coordination/maintenance/planner.go
+++ b/internal/coordination/maintenance/planner.go
@@ -44,7 +44,7 @@
 	spare   bool
 	after   state.Availability
 	members []member
-	// out are hosts of the data centre that are in maintenance.
+	// out counts hosts that are not in service, in all data centres.
 	out int
 	// due counts hosts in service that are due, in all data centres.
 	due    int
@@ -129,7 +129,7 @@
 func (p *planner) place(h state.Host) {
 	declared := p.s.Document.Hosts[h.Name]
 	m := member{Host: h, declared: declared, local: declared.DataCentre == p.dc, age: p.now.Sub(h.Maintained)}
-	m.lent = h.Home != h.Pool && h.Pool != "" || h.Then == state.Lend
+	m.lent = lent(h)
 	m.due = h.Phase == state.InService && m.age >= p.interval/2
 	if m.lent {
 		p.lentNow++
@@ -157,6 +157,11 @@
 	}
 }
 
+// lent tells whether a host is away from its home, or on its way.
+func lent(h state.Host) bool {
+	return h.Then == state.Lend || h.Pool != "" && h.Home != h.Pool
+}
+
 func (p *planner) countLocal(m member) {
 	if m.due {
 		p.plan.Due++
@@ -181,7 +186,7 @@
 	start := p.interval - p.lead()
 	oldest := time.Duration(0)
 	for _, h := range p.s.Hosts {
-		if h.Then == state.Reboot || h.Then == state.Lend || h.Pool != "" && h.Home != h.Pool {
+		if h.Then == state.Reboot || lent(h) {
 			return true
 		}
 		oldest = max(oldest, p.now.Sub(h.Maintained))
--- a/internal/coordination/maintenance/wave.go
+++ b/internal/coordination/maintenance/wave.go
@@ -48,7 +48,7 @@
 		}
 	}
 	touched := func(m member) int {
-		return view.after.UnavailableRacks[m.declared.DataCentre+"/"+m.declared.Rack]
+		return view.after.UnavailableRacks[state.RackOf(m.declared)]
 	}
 	slices.SortFunc(due, func(a, b member) int {
 		return cmp.Or(
@@ -85,7 +85,7 @@
 				break
 			}
 			view.after = after
-			p.lend(LendHost, m, wanting[0].name, "its budget leaves no host to spare")
+			p.plan.propose(LendHost, m.Name, wanting[0].name, "its budget leaves no host to spare")
 			wanting = wanting[1:]
 			p.lentNow++
 		}
@@ -127,17 +127,13 @@
 	}
 	from.after = after
 	if len(wanting) > 0 && wanting[0].name != m.Home {
-		p.lend(LendHost, m, wanting[0].name, "pool "+from.name+" is done")
+		p.plan.propose(LendHost, m.Name, wanting[0].name, "pool "+from.name+" is done")
 		return wanting[1:]
 	}
-	p.lend(GiveBack, m, m.Home, "pool "+from.name+" is done")
+	p.plan.propose(GiveBack, m.Name, m.Home, "pool "+from.name+" is done")
 	return wanting
 }
 
-func (p *planner) lend(action Action, m member, to, reason string) {
-	p.plan.propose(action, m.Name, to, reason)
-}
-
 // lendable lists the spare pool's hosts of this data centre, the most lately
 // maintained first: they will not be due while they are away.
 func (p *planner) lendable(view *poolView) []member {
--- a/internal/coordination/slot/share_test.go
+++ b/internal/coordination/slot/share_test.go
@@ -1,7 +1,6 @@
 package slot
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"slices"
@@ -10,17 +9,11 @@
 	"pgregory.net/rapid"
 
 	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
+	"github.com/hornbeammast/hornbeammast/internal/randomised"
 	"github.com/hornbeammast/hornbeammast/internal/state"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(randomised.Main(m, "")) }
 
 var entryHosts = []string{"e0", "e1", "e2", "e3"}
 
--- a/internal/demo/steps.go
+++ b/internal/demo/steps.go
@@ -53,16 +53,13 @@
 		if err := eventually("version 1 is in force", func() bool { return d.status(e).Version == 1 }); err != nil {
 			return err
 		}
-		if err := d.servesAt(len(d.entries)); err != nil {
-			return err
-		}
 	}
-	return nil
+	return d.serves()
 }
 
-// servesAt waits until the first n entry hosts have slots to give.
-func (d *demo) servesAt(n int) error {
-	for _, e := range d.entries[:n] {
+// serves waits until all entry hosts have slots to give.
+func (d *demo) serves() error {
+	for _, e := range d.entries {
 		err := eventually("requests are served", func() bool {
 			return d.expect(e, request{kind: "map", idempotent: true}, verdict.Ran) == nil
 		})
@@ -120,15 +117,9 @@
 func (d *demo) maintain() error {
 	stop := make(chan struct{})
 	failures := make(chan error, 1)
-	var load sync.WaitGroup
-	load.Add(1)
-	go func() {
-		defer load.Done()
-		failures <- d.loadUntil(stop)
-	}()
+	go func() { failures <- d.loadUntil(stop) }()
 	err := d.reboot("w0")
 	close(stop)
-	load.Wait()
 	return errors.CombineErrors(err, <-failures)
 }
 
@@ -204,7 +195,7 @@
 		return err
 	}
 	d.entries = append(d.entries, third)
-	return d.servesAt(len(d.entries))
+	return d.serves()
 }
 
 func (d *demo) lostAnswer() error {
--- a/internal/emulator/clock.go
+++ b/internal/emulator/clock.go
@@ -21,9 +21,10 @@
 	order  int
 }
 
-func newClock() *clock {
-	return &clock{now: time.Date(2026, 1, 5, 0, 0, 0, 0, time.UTC)}
-}
+// epoch is when each run begins.
+var epoch = time.Date(2026, 1, 5, 0, 0, 0, 0, time.UTC)
+
+func newClock() *clock { return &clock{now: epoch} }
 
 func (c *clock) at(at time.Time, run func(time.Time)) {
 	c.order++
--- a/internal/emulator/flood.go
+++ b/internal/emulator/flood.go
@@ -138,7 +138,7 @@
 
 // phase tells which kind floods at a time, -1 for none.
 func (f *flood) phase(now time.Time) int {
-	since := now.Sub(newClock().now)
+	since := now.Sub(epoch)
 	turn := int(since / f.period())
 	if since%f.period() < calmTime || turn >= len(f.shape.Services) {
 		return -1
--- a/internal/emulator/maintenance.go
+++ b/internal/emulator/maintenance.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/coordination/maintenance"
@@ -83,6 +82,7 @@
 	disturbed   bool
 	sampled     time.Time
 	trace       io.Writer
+	slack       int
 }
 
 // RunOption changes a run.
@@ -125,6 +125,7 @@
 		r.apply(dc, &wire.Record{Body: &wire.Record_Members{Members: members}})
 	}
 	r.sampled = r.clock.now
+	r.slack = r.shape.slack()
 }
 
 // apply folds a record as the log would, and checks the budget of its grant.
@@ -173,7 +174,7 @@
 
 // turn is the pool that is asked for five times its mean now.
 func (r *maintenanceRun) turn(now time.Time) string {
-	return r.shape.Serving[int(now.Sub(newClock().now)/turnTime)%len(r.shape.Serving)]
+	return r.shape.Serving[int(now.Sub(epoch)/turnTime)%len(r.shape.Serving)]
 }
 
 func (r *maintenanceRun) demandAt(now time.Time) maintenance.Demand {
@@ -336,10 +337,7 @@
 	r.sampled = now
 	all := r.s.Availabilities()
 	demand := r.demandAt(now)
-	for pool, declared := range r.s.Document.Pools {
-		slack := len(r.shape.homes(pool)) - declared.Budget.MinAvailableHosts
-		r.result.BufferHostHours += hours * float64(max(slack, 0))
-	}
+	r.result.BufferHostHours += hours * float64(r.slack)
 	flooded := r.turn(now)
 	for pool, asked := range demand {
 		if pool != flooded {
@@ -354,14 +352,15 @@
 	}
 }
 
-// homes lists the hosts declared in a pool.
-func (f Fleet) homes(pool string) []string {
-	names := []string{}
-	for name, h := range f.Document.Hosts {
-		if h.Pool == pool {
-			names = append(names, name)
-		}
+// slack is the number of hosts that the declared budgets hold back.
+func (f Fleet) slack() int {
+	members := map[string]int{}
+	for _, h := range f.Document.Hosts {
+		members[h.Pool]++
+	}
+	slack := 0
+	for pool, declared := range f.Document.Pools {
+		slack += max(members[pool]-declared.Budget.MinAvailableHosts, 0)
 	}
-	slices.Sort(names)
-	return names
+	return slack
 }
--- a/internal/entryhost/loops.go
+++ b/internal/entryhost/loops.go
@@ -201,7 +201,8 @@
 
 // renewLease extends the right to dispatch. The platform must have heard of
 // this entry host, so that nobody removes it before the lease ends, and the
-// tables in force must have all that the log held then.
+// tables in force must have all that the log held then: apply makes them from
+// the newest state before it lets the dispatcher know of the lease.
 func (e *EntryHost) renewLease(ctx context.Context) {
 	heard := *e.announced.Load()
 	if caughtUp := e.follower.CaughtUp(); caughtUp.Before(heard) {
@@ -211,7 +212,6 @@
 	if !e.follower.InContact() && e.allCutOff(ctx) {
 		heard = began
 	}
-	e.apply()
 	e.lease.renew(heard)
 	e.apply()
 }
--- a/internal/state/budget.go
+++ b/internal/state/budget.go
@@ -55,7 +55,7 @@
 	if a.UnavailableRacks == nil {
 		a.UnavailableRacks = map[string]int{}
 	}
-	a.UnavailableRacks[rackOf(declared)]++
+	a.UnavailableRacks[RackOf(declared)]++
 }
 
 // Without is the availability after taking one host that is in service out of it.
@@ -64,7 +64,7 @@
 	for rack, count := range a.UnavailableRacks {
 		racks[rack] = count
 	}
-	racks[rackOf(h)]++
+	racks[RackOf(h)]++
 	a.UnavailableRacks = racks
 	a.add(h, -1)
 	return a
@@ -78,7 +78,8 @@
 	a.Accelerators += sign * h.Accelerators
 }
 
-func rackOf(h fleet.Host) string {
+// RackOf names a rack in the whole fleet: racks of two data centres may share a name.
+func RackOf(h fleet.Host) string {
 	return h.DataCentre + "/" + h.Rack
 }
 
--- a/internal/state/fold_test.go
+++ b/internal/state/fold_test.go
@@ -1,7 +1,6 @@
 package state
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"slices"
@@ -12,18 +11,10 @@
 	"pgregory.net/rapid"
 
 	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
+	"github.com/hornbeammast/hornbeammast/internal/randomised"
 )
 
-// TestMain fixes the seed; a longer run is asked for with -rapid.checks and -rapid.seed.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "1000", "rapid.nofailfile": "true"} {
-		if flag.Lookup(name).Value.String() == flag.Lookup(name).DefValue {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(randomised.Main(m, "1000")) }
 
 var (
 	dataCentres = []string{"a", "b"}
