--- a/internal/cmd/cmd_serve.go
+++ b/internal/cmd/cmd_serve.go
@@ -20,6 +20,13 @@
 
 // Run serves until SIGTERM or SIGINT, then shuts down gracefully.
 func (s *serveCmd) Run(c *console) error {
+	jobs, err := settings.ForJobs(s.Settings)
+	if err != nil {
+		return &exitError{exitUsage, err}
+	}
+	if jobs {
+		return serveJobs(c, s.Settings)
+	}
 	loaded, err := settings.Load(s.Settings)
 	if err != nil {
 		return &exitError{exitUsage, err}
--- /dev/null
+++ b/internal/coordination/schedule/dump.go
@@ -0,0 +1,52 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
+)
+
+// PoolDump is the state of a pool.
+type PoolDump struct {
+	Pool   string            `json:"pool"`
+	Fence  int64             `json:"fence"`
+	Fenced bool              `json:"fenced"`
+	Jobs   map[job.State]int `json:"jobs"`
+	Hosts  []HostDump        `json:"hosts"`
+}
+
+// HostDump is what is believed of a host, with the age of it.
+type HostDump struct {
+	ID        worker.ID `json:"id"`
+	Rack      string    `json:"rack"`
+	Listed    bool      `json:"listed"`
+	Confirmed bool      `json:"confirmed"`
+	Draining  bool      `json:"draining"`
+	Cordoned  bool      `json:"cordoned"`
+	Heard     string    `json:"heard-age"`
+	Runs      int       `json:"runs"`
+	FreeCPU   int64     `json:"free-cpu"`
+	FreeMB    int64     `json:"free-memory-mb"`
+}
+
+// Dump gives the state for operators.
+func (p *Pool) Dump(now time.Time) PoolDump {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := PoolDump{Pool: p.name, Fence: int64(p.fence), Fenced: p.fenced, Jobs: map[job.State]int{}}
+	for _, e := range p.jobs {
+		d.Jobs[e.shown()]++
+	}
+	for id, h := range p.hosts {
+		free := h.free()
+		d.Hosts = append(d.Hosts, HostDump{
+			ID: id, Rack: h.report.Rack, Listed: h.listed, Confirmed: h.confirmed, Draining: h.report.Draining, Cordoned: h.cordoned,
+			Heard: now.Sub(h.heardAt).Round(time.Millisecond).String(), Runs: len(h.runs), FreeCPU: free.CPU, FreeMB: free.MemoryMB,
+		})
+	}
+	slices.SortFunc(d.Hosts, func(a, b HostDump) int { return cmp.Compare(a.ID, b.ID) })
+	return d
+}
--- /dev/null
+++ b/internal/coordination/schedule/ends.go
@@ -0,0 +1,181 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
+)
+
+// retryPause is how long a task waits after a failed run, so that a hopeless one
+// does not take the room of others.
+const retryPause = 50 * time.Millisecond
+
+func jobID(name worker.TaskName) job.ID { return job.ID(name.Job) }
+
+// ended takes one end from a host's list.
+func (p *Pool) ended(h *host, end *worker.Ended, now time.Time) {
+	if end.Number <= h.processed {
+		return
+	}
+	h.processed = end.Number
+	key := runKey{end.Task, end.Run}
+	delete(h.foreign, key)
+	r := h.runs[key]
+	e, ok := p.jobs[jobID(end.Task)]
+	if !ok {
+		return
+	}
+	t := e.task(end.Task)
+	if t == nil {
+		return
+	}
+	e.begun = true
+	t.lastRun = max(t.lastRun, end.Run)
+	if end.Checkpoint != "" && !t.done() {
+		t.checkpoint = end.Checkpoint
+	}
+	p.events.Event("run-ended", "task", end.Task, "run", end.Run, "host", h.report.ID, "how", end.How, "known", r != nil)
+	switch end.How {
+	case worker.HowDone:
+		p.taskDone(h, t, r, now)
+	case worker.HowFailed:
+		p.taskFailed(h, t, end, now)
+	}
+	if r != nil {
+		p.release(r, now, end.How)
+	}
+	if t.step.def.Gang && end.How != worker.HowDone && r != nil && r.number == t.step.gangRun {
+		p.stopGang(t.step, "gang-broken")
+	}
+}
+
+// taskDone notes a good end; a gang ends as one.
+func (p *Pool) taskDone(h *host, t *task, r *run, now time.Time) {
+	e := t.step.entry
+	h.health.succeeded()
+	if r != nil && !r.adopted && !r.onAt.IsZero() && !r.resumed && !t.step.def.LongRunning {
+		p.learned.learn(e.Queue, t.step.def.Estimate, now.Sub(r.onAt))
+	}
+	if t.step.def.LongRunning || e.Ended() {
+		return
+	}
+	tasks := []*task{t}
+	if t.step.def.Gang {
+		tasks = t.step.tasks
+	}
+	for _, member := range tasks {
+		if e.MarkDone(t.step.occurrence, t.step.number, member.index, now) {
+			e.dirty = true
+		}
+		for _, other := range member.runs {
+			if other != r && !t.step.def.Gang {
+				p.stop(other, "copy-done")
+			}
+		}
+	}
+	if e.AllDone() {
+		p.events.Event("job-done", "job", e.ID, "pool", p.name, "after", now.Sub(e.AcceptedAt),
+			"objective", e.objectiveSpan(), "tasks-stopped", e.liveRuns)
+	}
+}
+
+// taskFailed counts a failure; too many end the job.
+func (p *Pool) taskFailed(h *host, t *task, end *worker.Ended, now time.Time) {
+	e := t.step.entry
+	h.health.failed(now, end.Task.Job)
+	t.avoid = h.report.ID
+	t.notBefore = now.Add(retryPause)
+	if t.step.def.LongRunning || e.Ended() || t.done() {
+		return
+	}
+	if !e.MarkFailed(t.step.occurrence, t.step.number, t.index, end.Run) {
+		return
+	}
+	e.dirty = true
+	if p.failures(t) >= e.MaxAttempts {
+		e.Fail(now)
+		p.events.Event("job-failed", "job", e.ID, "pool", p.name, "task", end.Task, "failures", p.failures(t),
+			"max-attempts", e.MaxAttempts, "host", h.report.ID)
+	}
+}
+
+// failures counts the failed runs of a task; those of a gang's members count as one.
+func (p *Pool) failures(t *task) int {
+	e := t.step.entry
+	if !t.step.def.Gang {
+		return e.Failures(t.step.occurrence, t.step.number, t.index)
+	}
+	runs := map[int64]struct{}{}
+	for _, member := range t.step.tasks {
+		for _, number := range e.Occurrence(t.step.occurrence).Steps[t.step.number].Tasks[member.index].FailedRuns {
+			runs[number] = struct{}{}
+		}
+	}
+	return len(runs)
+}
+
+// attach adds a run to its host, task and job.
+func (p *Pool) attach(r *run) {
+	r.host.add(r)
+	r.task.runs = append(r.task.runs, r)
+	r.task.lastRun = max(r.task.lastRun, r.number)
+	r.task.step.entry.liveRuns++
+}
+
+// release takes a run off that is certainly not on its host any more.
+func (p *Pool) release(r *run, now time.Time, how worker.How) {
+	if r.host.runs[r.key()] != r {
+		return
+	}
+	r.host.remove(r)
+	t := r.task
+	for n, other := range t.runs {
+		if other == r {
+			t.runs = append(t.runs[:n], t.runs[n+1:]...)
+			break
+		}
+	}
+	t.step.entry.liveRuns--
+	if t.step.def.LongRunning {
+		t.downSince = now
+	}
+	if how == worker.HowLapsed {
+		p.events.Event("run-lapsed", "task", r.name, "run", r.number, "host", r.host.report.ID, "heard", r.host.heardAt)
+		if t.step.def.Gang && r.number == t.step.gangRun {
+			p.stopGang(t.step, "gang-lapsed")
+		}
+	}
+}
+
+// stop marks a run for stopping; the order goes out with the next plan.
+func (p *Pool) stop(r *run, reason string) {
+	if r.state == stopping {
+		return
+	}
+	r.state = stopping
+	r.stopReason = reason
+	r.stopSentAt = time.Time{}
+	r.stopAckedAt = time.Time{}
+}
+
+// stopGang stops all members of a gang's current run.
+func (p *Pool) stopGang(s *step, reason string) {
+	for _, t := range s.tasks {
+		for _, r := range t.runs {
+			p.stop(r, reason)
+		}
+	}
+}
+
+// observe keeps since when a run has used no processor time.
+func (r *run) observe(gauge int64, now time.Time) {
+	r.gauge = gauge
+	if gauge > 0 {
+		r.stillSince = time.Time{}
+		return
+	}
+	if r.stillSince.IsZero() {
+		r.stillSince = now
+	}
+}
--- a/internal/eventlog/event_log.go
+++ b/internal/eventlog/event_log.go
@@ -43,7 +43,7 @@
 	logger := logrus.New()
 	logger.SetOutput(w)
 	logger.SetLevel(parsed)
-	logger.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	logger.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: timeFormat})
 	return &Log{logger: logger}, nil
 }
 
@@ -59,3 +59,6 @@
 	}
 	l.logger.WithFields(fields).Log(level, name)
 }
+
+// timeFormat has milliseconds.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
--- /dev/null
+++ b/internal/jobhost/answers.go
@@ -0,0 +1,85 @@
+package jobhost
+
+import (
+	"context"
+	"time"
+
+	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
+)
+
+// catchUpCheck is how often an owner looks whether it has read what it waits for.
+const catchUpCheck = 5 * time.Millisecond
+
+// state answers for a job of a pool that is owned here. Before it says that there
+// is no such job, it makes sure that it has read all there is.
+func (p *partition) state(ctx context.Context, r *poolRunner, id job.ID) (state job.State, known, ok bool) {
+	if state, known := r.pool.State(id); known {
+		return state, true, true
+	}
+	if !p.caughtUp(ctx) {
+		return "", false, false
+	}
+	state, known = r.pool.State(id)
+	return state, known, true
+}
+
+// caughtUp waits until all records that are in the log now have been taken.
+func (p *partition) caughtUp(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, readSlack)
+	defer cancel()
+	batch, err := p.host.platform.Log.Read(ctx, p.id, p.follower.position.Load(), 0)
+	if err != nil {
+		return false
+	}
+	for p.follower.position.Load() < batch.End {
+		if ctx.Err() != nil {
+			return false
+		}
+		wait(ctx, catchUpCheck)
+	}
+	return true
+}
+
+// peerAnswers answers other entry hosts.
+type peerAnswers struct{ host *JobHost }
+
+// State tells how a job stands.
+func (a peerAnswers) State(ctx context.Context, request *wire.JobStateRequest) (*wire.JobStateReply, error) {
+	p, r, ok := a.host.owned(request.GetPool())
+	if !ok {
+		return &wire.JobStateReply{}, nil
+	}
+	state, _, ok := p.state(ctx, r, job.ID(request.GetId()))
+	return &wire.JobStateReply{Owner: ok, State: string(state)}, nil
+}
+
+// Waiting counts the jobs of a queue of which nothing has started.
+func (a peerAnswers) Waiting(_ context.Context, request *wire.WaitingRequest) (*wire.WaitingReply, error) {
+	_, r, ok := a.host.owned(request.GetPool())
+	if !ok {
+		return &wire.WaitingReply{}, nil
+	}
+	return &wire.WaitingReply{Owner: true, Waiting: int32(r.pool.Waiting(request.GetQueue()))}, nil //nolint:gosec // Far below 2^31 jobs.
+}
+
+// Load gives the demand of the pools that are owned here.
+func (a peerAnswers) Load(context.Context, *wire.LoadRequest) (*wire.LoadReply, error) {
+	return &wire.LoadReply{Pools: a.host.loads()}, nil
+}
+
+// Cordon keeps new work from a host.
+func (a peerAnswers) Cordon(_ context.Context, request *wire.CordonRequest) (*wire.CordonReply, error) {
+	vacant, ok := a.host.cordonHere(request.GetPool(), request.GetHost(), request.GetLift())
+	return &wire.CordonReply{Owner: ok, Vacant: vacant}, nil
+}
+
+// Relay adds a record for an entry host that the log turns away.
+func (a peerAnswers) Relay(ctx context.Context, request *wire.RelayRequest) (*wire.RelayReply, error) {
+	return a.host.relayHere(ctx, request), nil
+}
+
+// Configuration gives the configuration in force if it is above a version.
+func (a peerAnswers) Configuration(_ context.Context, request *wire.ConfigurationRequest) (*wire.ConfigurationReply, error) {
+	return &wire.ConfigurationReply{Record: a.host.operators.recordAbove(request.GetAbove())}, nil
+}
--- /dev/null
+++ b/internal/jobhost/dump.go
@@ -0,0 +1,76 @@
+package jobhost
+
+import (
+	"time"
+
+	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
+)
+
+// Dump is the state of one entry host.
+type Dump struct {
+	Name          string              `json:"name"`
+	DataCentre    string              `json:"data-centre"`
+	Member        string              `json:"member"`
+	ConfigVersion int64               `json:"config-version"`
+	ConfirmedAge  string              `json:"confirmed-age"`
+	Draining      bool                `json:"draining"`
+	Partitions    []PartitionDump     `json:"partitions"`
+	Pools         []schedule.PoolDump `json:"pools"`
+	Latencies     map[string]Snapshot `json:"latencies"`
+}
+
+// PartitionDump is one tenure.
+type PartitionDump struct {
+	Partition int   `json:"partition"`
+	Token     int64 `json:"token"`
+	Loaded    bool  `json:"loaded"`
+	Offset    int64 `json:"offset"`
+}
+
+// Metrics gives counters and latencies.
+func (h *JobHost) Metrics() map[string]any {
+	m := map[string]any{"latencies": h.metrics.all(), "ready": h.Ready()}
+	if config := h.config(); config != nil {
+		m["config-version"] = config.Version
+	}
+	return m
+}
+
+// Dump gives the state for operators.
+func (h *JobHost) Dump() Dump {
+	now := h.now()
+	d := Dump{
+		Name: h.settings.Name, DataCentre: h.settings.DataCentre, Member: h.directory.member, Draining: h.draining.Load(),
+		ConfirmedAge: now.Sub(h.keeper.Confirmed()).Round(time.Millisecond).String(), Latencies: h.metrics.all(),
+	}
+	if config := h.config(); config != nil {
+		d.ConfigVersion = config.Version
+	}
+	for _, p := range h.heldPartitions() {
+		d.Partitions = append(d.Partitions, PartitionDump{p.id.Number, p.token, p.loaded.Load(), p.follower.position.Load()})
+		for _, r := range p.runners() {
+			d.Pools = append(d.Pools, r.pool.Dump(now))
+		}
+	}
+	return d
+}
+
+func (h *JobHost) heldPartitions() []*partition {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	held := make([]*partition, 0, len(h.partitions))
+	for _, p := range h.partitions {
+		held = append(held, p)
+	}
+	return held
+}
+
+func (p *partition) runners() []*poolRunner {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := make([]*poolRunner, 0, len(p.pools))
+	for _, r := range p.pools {
+		all = append(all, r)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/jobhost/fleet_view.go
@@ -0,0 +1,156 @@
+package jobhost
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/machine"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/queue"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
+)
+
+// operatorsView is what operators have published.
+type operatorsView struct {
+	published Published
+	events    Events
+	changed   func()
+
+	config atomic.Pointer[queue.Configuration]
+	mu     sync.Mutex
+	waves  map[int64]machine.Wave
+	// record is the newest configuration as it was published.
+	record keyedlog.Record
+}
+
+func (v *operatorsView) take(records []keyedlog.Record) {
+	for _, record := range records {
+		if len(record.Value) == 0 {
+			continue
+		}
+		v.takeRecord(record)
+	}
+}
+
+func (v *operatorsView) takeRecord(record keyedlog.Record) {
+	config, err := v.published.Configuration(record)
+	if err != nil {
+		v.events.Event("record-unreadable", "key", record.Key, "offset", record.Offset, "error", err)
+		return
+	}
+	if config != nil {
+		v.adopt(config, record)
+		return
+	}
+	wave, err := v.published.Wave(record)
+	if err != nil {
+		v.events.Event("record-unreadable", "key", record.Key, "offset", record.Offset, "error", err)
+		return
+	}
+	if wave == nil {
+		return
+	}
+	v.mu.Lock()
+	_, known := v.waves[wave.Number]
+	v.waves[wave.Number] = *wave
+	v.mu.Unlock()
+	if !known {
+		v.events.Event("wave-published", "wave", wave.Number, "machines", len(wave.Machines), "duration", wave.Duration, "max-down", wave.MaxDown)
+	}
+	v.changed()
+}
+
+// adopt puts a version in force; a version never goes back.
+func (v *operatorsView) adopt(config *queue.Configuration, record keyedlog.Record) {
+	v.mu.Lock()
+	before := v.config.Load()
+	if before != nil && config.Version <= before.Version {
+		v.mu.Unlock()
+		return
+	}
+	v.config.Store(config)
+	v.record = record
+	v.mu.Unlock()
+	v.events.Event("config-in-force", "version", config.Version, "queues", len(config.Queues), "pools", len(config.Pools), "offset", record.Offset)
+	v.changed()
+}
+
+// recordAbove gives the configuration as it was published, if it is newer.
+func (v *operatorsView) recordAbove(version int64) []byte {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if config := v.config.Load(); config == nil || config.Version <= version {
+		return nil
+	}
+	return v.record.Value
+}
+
+func (v *operatorsView) allWaves() []machine.Wave {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	waves := make([]machine.Wave, 0, len(v.waves))
+	for _, wave := range v.waves {
+		waves = append(waves, wave)
+	}
+	return waves
+}
+
+// hostsView is what workers report of themselves.
+type hostsView struct {
+	published Published
+	events    Events
+	changed   func()
+
+	mu    sync.Mutex
+	hosts map[worker.ID]worker.Report
+}
+
+func (v *hostsView) reset() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	clear(v.hosts)
+}
+
+func (v *hostsView) take(records []keyedlog.Record) {
+	v.mu.Lock()
+	changed := false
+	for _, record := range records {
+		changed = v.takeRecord(record) || changed
+	}
+	v.mu.Unlock()
+	if changed {
+		v.changed()
+	}
+}
+
+func (v *hostsView) takeRecord(record keyedlog.Record) bool {
+	id := worker.ID(record.Key)
+	before, known := v.hosts[id]
+	if len(record.Value) == 0 {
+		delete(v.hosts, id)
+		return known
+	}
+	report, err := v.published.Report(record)
+	if err != nil {
+		if known {
+			v.events.Event("report-unreadable", "host", id, "offset", record.Offset, "error", err)
+		}
+		delete(v.hosts, id)
+		return known
+	}
+	v.hosts[id] = report
+	return before != report
+}
+
+// of lists the hosts of a pool.
+func (v *hostsView) of(pool string) []worker.Report {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var reports []worker.Report
+	for _, report := range v.hosts {
+		if report.Pool == pool {
+			reports = append(reports, report)
+		}
+	}
+	return reports
+}
--- /dev/null
+++ b/internal/jobhost/job_host.go
@@ -0,0 +1,219 @@
+package jobhost
+
+import (
+	"context"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hornbeammast/hornbeammast/internal/coordination/intake"
+	"github.com/hornbeammast/hornbeammast/internal/coordination/owner"
+	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/machine"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/queue"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
+	"github.com/hornbeammast/hornbeammast/internal/transport/peer"
+)
+
+const (
+	// TopicJobs has the records of jobs, partitioned by pool. Topics whose name
+	// begins with the prefix keep the newest record of each key.
+	TopicJobs = "keyed.jobs"
+	// TopicFleet is dealt for its first partition: its owner moves and maintains machines.
+	TopicFleet = "keyed.fleet"
+	// groupName is the group of all entry hosts.
+	groupName = "entry-hosts"
+)
+
+// Settings are what a job host must be told.
+type Settings struct {
+	Name        string
+	DataCentre  string
+	PeerAddress netip.AddrPort
+	// Partitions is how many partitions the platform gives a topic.
+	Partitions int
+	// GroupTTL is how long a silent member keeps its partitions.
+	GroupTTL time.Duration
+	Limits   schedule.Limits
+	Capacity Capacity
+}
+
+// JobHost is one running entry host for jobs.
+type JobHost struct {
+	settings Settings
+	platform Platform
+	events   Events
+	now      func() time.Time
+	metrics  *metrics
+
+	operators *operatorsView
+	hosts     *hostsView
+	keeper    *owner.Keeper
+	directory *directory
+	intake    *intake.Intake
+	peers     *peer.JobClient
+	server    *peer.JobServer
+
+	cancel   context.CancelFunc
+	loops    sync.WaitGroup
+	draining atomic.Bool
+
+	mu         sync.Mutex
+	partitions map[keyedlog.Partition]*partition
+	fleet      *fleetOwner
+}
+
+// Start starts a job host on a platform.
+func Start(s Settings, platform Platform, events Events, now func() time.Time) (*JobHost, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &JobHost{
+		settings: s, platform: platform, events: events, now: now, metrics: newMetrics(), cancel: cancel,
+		partitions: map[keyedlog.Partition]*partition{},
+	}
+	server, err := peer.ListenJobs(s.PeerAddress, peerAnswers{h})
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	h.server = server
+	h.peers = peer.NewJobClient()
+	h.operators = &operatorsView{published: platform.Published, events: events, changed: h.refresh, waves: map[int64]machine.Wave{}}
+	h.hosts = &hostsView{published: platform.Published, events: events, changed: h.refresh, hosts: map[worker.ID]worker.Report{}}
+	member := memberName(s.Name, server.Address(), now())
+	h.directory = newDirectory(h, member)
+	h.keeper = owner.New(platform.Log, h, events, now, keyedlog.JoinRequest{
+		Group: groupName, Member: member, Topics: []string{TopicJobs, TopicFleet}, TTL: s.GroupTTL,
+	})
+	h.intake = intake.New(logRecorder{h}, h.directory, events, now)
+	h.startLoops(ctx)
+	events.Event("job-host-started", "name", s.Name, "data-centre", s.DataCentre, "member", member, "peer", server.Address())
+	return h, nil
+}
+
+func (h *JobHost) startLoops(ctx context.Context) {
+	operators := &follower{
+		log: h.platform.Log, events: h.events, partition: h.platform.Published.Operators(), now: h.now,
+		take: h.operators.take,
+	}
+	hosts := &follower{
+		log: h.platform.Log, events: h.events, partition: h.platform.Published.Hosts(), now: h.now,
+		reset: h.hosts.reset, take: h.hosts.take,
+	}
+	h.loops.Go(func() { operators.run(ctx) })
+	h.loops.Go(func() { hosts.run(ctx) })
+	h.loops.Go(func() { h.keeper.Run(ctx) })
+}
+
+// memberName carries the address, so that the owners' list is the directory.
+func memberName(name string, address netip.AddrPort, now time.Time) string {
+	return name + "@" + address.String() + "@" + strconv.FormatInt(now.UnixMilli(), 36)
+}
+
+// Intake is the callers' side.
+func (h *JobHost) Intake() *intake.Intake { return h.intake }
+
+// Configuration is the version in force, or nil.
+func (h *JobHost) Configuration() *queue.Configuration { return h.config() }
+
+func (h *JobHost) config() *queue.Configuration { return h.operators.config.Load() }
+
+func (h *JobHost) limits() schedule.Limits { return h.settings.Limits }
+
+// mayAct tells whether the log has confirmed the membership lately enough.
+func (h *JobHost) mayAct(now time.Time) bool {
+	return now.Sub(h.keeper.Confirmed()) < h.settings.Limits.MaxUnconfirmed
+}
+
+// Ready tells whether callers should be sent here.
+func (h *JobHost) Ready() bool { return h.config() != nil && !h.draining.Load() }
+
+// partitionOf is the partition that has a pool's records.
+func (h *JobHost) partitionOf(pool string) keyedlog.Partition {
+	number := xxhash.Sum64String(pool) % uint64(h.settings.Partitions) //nolint:gosec // Checked to be above 0.
+	return keyedlog.Partition{Topic: TopicJobs, Number: int(number)}   //nolint:gosec // Below Partitions.
+}
+
+// Acquire begins the tenure of a partition.
+func (h *JobHost) Acquire(id keyedlog.Partition, token int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case id.Topic == TopicJobs:
+		h.partitions[id] = startPartition(h, id, token)
+	case id.Topic == TopicFleet && id.Number == 0:
+		h.fleet = startFleetOwner(h, token)
+	}
+}
+
+// Release ends the tenure of a partition.
+func (h *JobHost) Release(id keyedlog.Partition) {
+	h.mu.Lock()
+	p := h.partitions[id]
+	delete(h.partitions, id)
+	var fleet *fleetOwner
+	if id.Topic == TopicFleet && id.Number == 0 {
+		fleet, h.fleet = h.fleet, nil
+	}
+	h.mu.Unlock()
+	if p != nil {
+		p.stop()
+	}
+	if fleet != nil {
+		fleet.stop()
+	}
+}
+
+// lostTo begins anew after a later owner was seen to have had the partition.
+func (h *JobHost) lostTo(p *partition) {
+	h.events.Event("partition-fenced", "partition", p.id.Number, "token", p.token)
+	h.loops.Go(func() { h.keeper.Reacquire(p.id, p.token) })
+}
+
+// owned gives the runner of a pool if this entry host owns it and has loaded it.
+func (h *JobHost) owned(pool string) (*partition, *poolRunner, bool) {
+	h.mu.Lock()
+	p := h.partitions[h.partitionOf(pool)]
+	h.mu.Unlock()
+	if p == nil || !p.loaded.Load() || !h.mayAct(h.now()) {
+		return nil, nil, false
+	}
+	r, ok := p.owns(pool)
+	return p, r, ok
+}
+
+// refresh hands what was published to the pools.
+func (h *JobHost) refresh() {
+	for _, p := range h.heldPartitions() {
+		p.refresh()
+	}
+}
+
+// Drain gives the partitions away and tells the balancer to go elsewhere.
+func (h *JobHost) Drain(ctx context.Context) {
+	h.draining.Store(true)
+	err := h.keeper.Leave(ctx)
+	h.events.Event("drained", "error", err)
+}
+
+// Close stops at once.
+func (h *JobHost) Close() {
+	h.cancel()
+	h.mu.Lock()
+	partitions, fleet := h.partitions, h.fleet
+	h.partitions, h.fleet = map[keyedlog.Partition]*partition{}, nil
+	h.mu.Unlock()
+	for _, p := range partitions {
+		p.stop()
+	}
+	if fleet != nil {
+		fleet.stop()
+	}
+	h.server.Close()
+	h.peers.Close()
+	h.loops.Wait()
+}
--- /dev/null
+++ b/internal/jobhost/recorder.go
@@ -0,0 +1,160 @@
+package jobhost
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/verdict"
+)
+
+const (
+	// appendTimeout bounds an append; beyond it the same one is sent again.
+	appendTimeout = 1500 * time.Millisecond
+	// producerName marks the appends of owners.
+	producerName = "owner"
+)
+
+var errTenureOver = errors.New("the tenure is over or not confirmed; nothing is ordered")
+
+// recorder writes what has ended in a partition's pools: one append for all that
+// came meanwhile, one at a time, in order.
+type recorder struct {
+	partition *partition
+	wake      chan struct{}
+	dropped   chan []job.ID
+	sequence  int64
+}
+
+func newRecorder(p *partition) *recorder {
+	return &recorder{partition: p, wake: make(chan struct{}, 1), dropped: make(chan []job.ID, 1)}
+}
+
+func (r *recorder) signal() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// drop forgets jobs in the log; if another drop still waits, the next sweep of a
+// later owner does it.
+func (r *recorder) drop(ids []job.ID) {
+	if len(ids) == 0 {
+		return
+	}
+	select {
+	case r.dropped <- ids:
+	default:
+	}
+}
+
+// claim refuses the appends of earlier owners from here on.
+func (r *recorder) claim(ctx context.Context) {
+	for ctx.Err() == nil {
+		if r.append(ctx, nil) {
+			return
+		}
+	}
+}
+
+// run records until ctx ends.
+func (r *recorder) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case ids := <-r.dropped:
+			r.append(ctx, dropRecords(ids))
+		case <-r.wake:
+			r.record(ctx)
+		}
+	}
+}
+
+// taken is what one pool gave to be recorded.
+type taken struct {
+	runner *poolRunner
+	what   schedule.Unrecorded
+}
+
+func (r *recorder) record(ctx context.Context) {
+	var all []taken
+	var records []keyedlog.Record
+	for _, runner := range r.partition.runners() {
+		what, err := runner.pool.TakeUnrecorded()
+		if err != nil {
+			r.partition.host.events.Event("record-failed", "pool", runner.pool.Name(), "error", err)
+			continue
+		}
+		if what.Empty() {
+			continue
+		}
+		all = append(all, taken{runner, what})
+		for id, data := range what.Progress {
+			records = append(records, keyedlog.Record{Key: keyProgress + string(id), Value: data})
+		}
+	}
+	written := len(records) == 0 || r.append(ctx, records)
+	for _, t := range all {
+		if written {
+			t.runner.pool.Recorded(t.what, r.partition.host.now())
+			t.runner.signal()
+		} else {
+			t.runner.pool.Unwritten(t.what)
+		}
+	}
+	if !written {
+		r.signal()
+	}
+}
+
+// append writes records until they are certainly there; it gives up when the
+// tenure ends.
+func (r *recorder) append(ctx context.Context, records []keyedlog.Record) bool {
+	host := r.partition.host
+	healthy := true
+	for ctx.Err() == nil {
+		producer := &keyedlog.Producer{Name: producerName, Epoch: r.partition.token, Sequence: r.sequence}
+		call, cancel := context.WithTimeout(ctx, appendTimeout)
+		began := time.Now()
+		err := host.platform.Log.Append(call, r.partition.id, records, producer)
+		cancel()
+		host.metrics.record.observe(time.Since(began), err)
+		if err == nil {
+			r.sequence++
+			return true
+		}
+		if healthy {
+			host.events.Event("record-delayed", "partition", r.partition.id.Number, "records", len(records), "sequence", r.sequence,
+				"verdict", verdict.Of(err).Verdict, "error", err)
+			healthy = false
+		}
+		var sequence *keyedlog.SequenceError
+		switch {
+		case errors.Is(err, keyedlog.ErrFenced):
+			host.lostTo(r.partition)
+			<-ctx.Done()
+			return false
+		case errors.As(err, &sequence):
+			r.sequence = sequence.Expected
+		default:
+			wait(ctx, retryPause)
+		}
+	}
+	return false
+}
+
+func dropRecords(ids []job.ID) []keyedlog.Record {
+	records := make([]keyedlog.Record, 0, 3*len(ids))
+	for _, id := range ids {
+		for _, prefix := range []string{keyJob, keyProgress, keyCancel} {
+			records = append(records, keyedlog.Record{Key: prefix + string(id)})
+		}
+	}
+	return records
+}
--- /dev/null
+++ b/internal/protocol/settings/job_settings.go
@@ -0,0 +1,138 @@
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tailscale/hujson"
+
+	"github.com/hornbeammast/hornbeammast/internal/protocol/fleet"
+)
+
+// JobSettings are what an entry host for jobs must be told; all else is in the log.
+type JobSettings struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"data-centre"`
+
+	CallerAddress  netip.AddrPort `json:"caller-address"`
+	HealthAddress  netip.AddrPort `json:"health-address"`
+	PeerAddress    netip.AddrPort `json:"peer-address"`
+	MetricsAddress netip.AddrPort `json:"metrics-address,omitzero"`
+
+	Platform PlatformSettings `json:"platform"`
+	Bounds   Bounds           `json:"bounds,omitzero"`
+	Process  Process          `json:"process,omitzero"`
+	// LogLevel is debug, info, warning or error.
+	LogLevel string `json:"log-level,omitempty"`
+	// LogBytesPerSecond bounds the log; what is left out is counted.
+	LogBytesPerSecond int `json:"log-bytes-per-second,omitempty"`
+}
+
+// PlatformSettings tell where the platform is and what it gives.
+type PlatformSettings struct {
+	LogAddress      netip.AddrPort `json:"log-address"`
+	MachinesAddress netip.AddrPort `json:"machines-address,omitzero"`
+	AdviceAddress   netip.AddrPort `json:"advice-address,omitzero"`
+	// Partitions is how many partitions a topic of the log has.
+	Partitions int `json:"partitions"`
+	// LeastGroupTTL is the shortest time after which a silent member loses its partitions.
+	LeastGroupTTL fleet.Duration `json:"least-group-ttl,omitempty"`
+	// MachineOrdersPerSecond and MachineReadsPerSecond are shared by all entry hosts.
+	MachineOrdersPerSecond float64 `json:"machine-orders-per-second,omitempty"`
+	MachineReadsPerSecond  float64 `json:"machine-reads-per-second,omitempty"`
+}
+
+// Bounds are the platform's figures for workers and machines.
+type Bounds struct {
+	// MaxLease is the longest lease that a worker grants.
+	MaxLease fleet.Duration `json:"max-lease,omitempty"`
+	// MoveTime and MaintenanceTime are how long a machine is away for either.
+	MoveTime        fleet.Duration `json:"move-time,omitempty"`
+	MaintenanceTime fleet.Duration `json:"maintenance-time,omitempty"`
+	// HolderLease is how long two holders must not take turns in ordering a machine.
+	HolderLease     fleet.Duration `json:"holder-lease,omitempty"`
+	NoticeTime      fleet.Duration `json:"notice-time,omitempty"`
+	HarmTime        fleet.Duration `json:"harm-time,omitempty"`
+	CheckpointEvery fleet.Duration `json:"checkpoint-every,omitempty"`
+	KeepEnded       fleet.Duration `json:"keep-ended,omitempty"`
+	FarFactor       float64        `json:"far-factor,omitempty"`
+	ShutdownGrace   fleet.Duration `json:"shutdown-grace,omitempty"`
+}
+
+// Process bounds what the process may use.
+type Process struct {
+	MemoryMB       int `json:"memory-mb,omitempty"`
+	MaxDescriptors int `json:"max-descriptors,omitempty"`
+}
+
+// DefaultJobs are the figures of a platform that does not say its own.
+func DefaultJobs() JobSettings {
+	return JobSettings{
+		Platform: PlatformSettings{
+			LeastGroupTTL: fleet.Duration(time.Second), MachineOrdersPerSecond: 8, MachineReadsPerSecond: 8,
+		},
+		Bounds: Bounds{
+			MaxLease: fleet.Duration(10 * time.Second), MoveTime: fleet.Duration(2 * time.Second),
+			MaintenanceTime: fleet.Duration(2 * time.Second), HolderLease: fleet.Duration(3 * time.Second),
+			NoticeTime: fleet.Duration(5 * time.Second), HarmTime: fleet.Duration(4 * time.Second),
+			CheckpointEvery: fleet.Duration(time.Second), KeepEnded: fleet.Duration(2 * time.Minute),
+			FarFactor: 2, ShutdownGrace: fleet.Duration(6 * time.Second),
+		},
+		Process:           Process{MemoryMB: 256, MaxDescriptors: 4096},
+		LogLevel:          "info",
+		LogBytesPerSecond: 256 << 10,
+	}
+}
+
+// ForJobs tells whether a settings file is one of an entry host for jobs.
+func ForJobs(path string) (bool, error) {
+	data, err := os.ReadFile(path) //nolint:gosec // The operator names the file.
+	if err != nil {
+		return false, errors.Wrap(err, "read the settings")
+	}
+	value, err := hujson.Parse(data)
+	if err != nil {
+		return false, errors.Wrapf(err, "%s is not JSON with comments", path)
+	}
+	return value.Find("/platform") != nil, nil
+}
+
+// LoadJobs reads and checks a file.
+func LoadJobs(path string) (JobSettings, error) {
+	data, err := os.ReadFile(path) //nolint:gosec // The operator names the file.
+	if err != nil {
+		return JobSettings{}, errors.Wrap(err, "read the settings")
+	}
+	s := DefaultJobs()
+	if err := parseInto(data, &s); err != nil {
+		return JobSettings{}, errors.Wrap(err, path)
+	}
+	return s, errors.Wrap(s.Validate(), path)
+}
+
+// Validate tells the first thing that is wrong.
+func (s JobSettings) Validate() error {
+	if s.Name == "" || s.DataCentre == "" {
+		return errors.New("name and data-centre must be set")
+	}
+	for name, address := range map[string]netip.AddrPort{
+		"caller-address": s.CallerAddress, "health-address": s.HealthAddress, "peer-address": s.PeerAddress,
+		"platform.log-address": s.Platform.LogAddress,
+	} {
+		if !address.IsValid() {
+			return errors.Newf("%s must be an IP and a port", name)
+		}
+	}
+	if s.Platform.Partitions < 1 {
+		return errors.New("platform: partitions must be above 0")
+	}
+	if s.Bounds.MaxLease < fleet.Duration(time.Second) {
+		return errors.New("bounds: max-lease must be at least 1s")
+	}
+	if s.LogBytesPerSecond < 1 {
+		return errors.New("log-bytes-per-second must be above 0")
+	}
+	return nil
+}
--- a/internal/protocol/settings/settings.go
+++ b/internal/protocol/settings/settings.go
@@ -115,17 +115,25 @@
 
 // Parse reads settings and checks them; unknown keys are refused with their place.
 func Parse(data []byte) (Settings, error) {
+	s := Default()
+	if err := parseInto(data, &s); err != nil {
+		return Settings{}, err
+	}
+	return s, s.Validate()
+}
+
+// parseInto reads JSON with comments over the defaults in into.
+func parseInto(data []byte, into any) error {
 	plain, err := hujson.Standardize(bytes.Clone(data))
 	if err != nil {
-		return Settings{}, errors.Wrap(err, "not JSON with comments")
+		return errors.Wrap(err, "not JSON with comments")
 	}
-	s := Default()
 	decoder := json.NewDecoder(bytes.NewReader(plain))
 	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&s); err != nil {
-		return Settings{}, locate(plain, err)
+	if err := decoder.Decode(into); err != nil {
+		return locate(plain, err)
 	}
-	return s, s.Validate()
+	return nil
 }
 
 var unknownField = regexp.MustCompile(`unknown field "(.*)"`)
--- /dev/null
+++ b/internal/state/jobs/progress.go
@@ -0,0 +1,113 @@
+package jobs
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
+)
+
+// MarshalProgress writes all that has ended.
+func (j *Job) MarshalProgress() ([]byte, error) {
+	m := &wire.JobProgress{Failed: j.Failed}
+	if !j.EndedAt.IsZero() {
+		m.EndedMs = j.EndedAt.UnixMilli()
+	}
+	numbers := make([]int, 0, len(j.occurrences))
+	for number := range j.occurrences {
+		numbers = append(numbers, number)
+	}
+	slices.Sort(numbers)
+	for _, number := range numbers {
+		if o := j.occurrences[number].message(); o != nil {
+			m.Occurrences = append(m.Occurrences, o)
+		}
+	}
+	data, err := proto.Marshal(m)
+	return data, errors.Wrap(err, "write the progress")
+}
+
+// message is nil while nothing has ended.
+func (o *Occurrence) message() *wire.OccurrenceProgress {
+	m := &wire.OccurrenceProgress{Number: int32(o.Number), Done: o.Done} //nolint:gosec // Bounded by job.MaxOccurrences.
+	if o.Done {
+		return m
+	}
+	some := false
+	for n := range o.Steps {
+		s := o.Steps[n].message()
+		some = some || len(s.GetDone()) > 0 || len(s.GetFailures()) > 0
+		m.Steps = append(m.Steps, s)
+	}
+	if !some {
+		return nil
+	}
+	return m
+}
+
+func (s *Step) message() *wire.StepProgress {
+	m := &wire.StepProgress{}
+	for n := range s.Tasks {
+		if s.Tasks[n].Done {
+			for len(m.Done) <= n/8 {
+				m.Done = append(m.Done, 0)
+			}
+			m.Done[n/8] |= 1 << (n % 8)
+		}
+		if len(s.Tasks[n].FailedRuns) > 0 {
+			m.Failures = append(m.Failures, &wire.TaskFailures{Index: int32(n), Runs: s.Tasks[n].FailedRuns}) //nolint:gosec // Bounded by job.MaxTasks.
+		}
+	}
+	return m
+}
+
+// ApplyProgress adds what a record says has ended.
+func (j *Job) ApplyProgress(data []byte) error {
+	m := &wire.JobProgress{}
+	if err := proto.Unmarshal(data, m); err != nil {
+		return errors.Wrap(err, "read the progress")
+	}
+	ended := time.UnixMilli(m.GetEndedMs())
+	for _, o := range m.GetOccurrences() {
+		if !j.Has(int(o.GetNumber()), 0, 0) || len(o.GetSteps()) > len(j.Steps) {
+			return errors.Newf("progress of occurrence %d, which the job does not have", o.GetNumber())
+		}
+		j.applyOccurrence(o, ended)
+	}
+	if m.GetFailed() && !j.Failed {
+		j.Fail(ended)
+	}
+	return nil
+}
+
+func (j *Job) applyOccurrence(m *wire.OccurrenceProgress, ended time.Time) {
+	number := int(m.GetNumber())
+	for step := range j.Steps {
+		for index := range j.Steps[step].Tasks {
+			if m.GetDone() || stepHas(m.GetSteps(), step, index) {
+				j.MarkDone(number, step, index, ended)
+			}
+		}
+	}
+	for step, s := range m.GetSteps() {
+		for _, failures := range s.GetFailures() {
+			if !j.Has(number, step, int(failures.GetIndex())) {
+				continue
+			}
+			for _, run := range failures.GetRuns() {
+				j.MarkFailed(number, step, int(failures.GetIndex()), run)
+			}
+		}
+	}
+}
+
+func stepHas(steps []*wire.StepProgress, step, index int) bool {
+	if step >= len(steps) {
+		return false
+	}
+	done := steps[step].GetDone()
+	return index/8 < len(done) && done[index/8]&(1<<(index%8)) != 0
+}
--- /dev/null
+++ b/internal/transport/peer/job_client.go
@@ -0,0 +1,66 @@
+package peer
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+
+	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
+)
+
+// jobCallTimeout bounds a call about jobs; they are answered from memory.
+const jobCallTimeout = 600 * time.Millisecond
+
+// JobClient asks other entry hosts about jobs.
+type JobClient struct {
+	pool *drpcpool.Pool[netip.AddrPort, *drpcconn.Conn]
+}
+
+// NewJobClient makes a client.
+func NewJobClient() *JobClient {
+	return &JobClient{drpcpool.New[netip.AddrPort, *drpcconn.Conn](drpcpool.Options{Expiration: idleTime, KeyCapacity: maxPerPeer})}
+}
+
+// Close ends all connections.
+func (c *JobClient) Close() { _ = c.pool.Close() }
+
+func callJob[Q, A any](ctx context.Context, c *JobClient, address netip.AddrPort, method func(wire.DRPCJobPeerClient, context.Context, Q) (A, error), request Q) (A, error) {
+	ctx, cancel := context.WithTimeout(ctx, jobCallTimeout)
+	defer cancel()
+	answer, err := method(wire.NewDRPCJobPeerClient(c.pool.Get(ctx, address, dial)), ctx, request)
+	return answer, errors.Wrapf(err, "call entry host %s", address)
+}
+
+// State asks how a job stands.
+func (c *JobClient) State(ctx context.Context, address netip.AddrPort, request *wire.JobStateRequest) (*wire.JobStateReply, error) {
+	return callJob(ctx, c, address, wire.DRPCJobPeerClient.State, request)
+}
+
+// Waiting asks how many jobs of a queue wait.
+func (c *JobClient) Waiting(ctx context.Context, address netip.AddrPort, request *wire.WaitingRequest) (*wire.WaitingReply, error) {
+	return callJob(ctx, c, address, wire.DRPCJobPeerClient.Waiting, request)
+}
+
+// Load asks for the demand of the pools that an entry host owns.
+func (c *JobClient) Load(ctx context.Context, address netip.AddrPort) (*wire.LoadReply, error) {
+	return callJob(ctx, c, address, wire.DRPCJobPeerClient.Load, &wire.LoadRequest{})
+}
+
+// Cordon asks the owner of a pool to keep new work from a host.
+func (c *JobClient) Cordon(ctx context.Context, address netip.AddrPort, request *wire.CordonRequest) (*wire.CordonReply, error) {
+	return callJob(ctx, c, address, wire.DRPCJobPeerClient.Cordon, request)
+}
+
+// Relay asks another entry host to add a record to the log.
+func (c *JobClient) Relay(ctx context.Context, address netip.AddrPort, request *wire.RelayRequest) (*wire.RelayReply, error) {
+	return callJob(ctx, c, address, wire.DRPCJobPeerClient.Relay, request)
+}
+
+// Configuration asks for a newer configuration.
+func (c *JobClient) Configuration(ctx context.Context, address netip.AddrPort, request *wire.ConfigurationRequest) (*wire.ConfigurationReply, error) {
+	return callJob(ctx, c, address, wire.DRPCJobPeerClient.Configuration, request)
+}
