Pools follow demand, and waves are done through idle hosts

Change: coordination/capacity plans moves, cordons and maintenance from the pools' loads; one owner at a time orders machines.

--- a/internal/cmd/serve_jobs.go
+++ b/internal/cmd/serve_jobs.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hornbeammast/hornbeammast/internal/coordination/capacity"
 	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
 	"github.com/hornbeammast/hornbeammast/internal/eventlog"
 	"github.com/hornbeammast/hornbeammast/internal/jobhost"
@@ -35,6 +36,15 @@
 	// holdWait is how long a worker may wait with its answer; renews a lease well
 	// before its end.
 	holdWait = 1500 * time.Millisecond
+	// poolHeadroom times the demand is what a pool gets, since tasks don't fill hosts exactly.
+	poolHeadroom = 1.15
+	// poolFloor is the least number of hosts of a pool, so that a first job finds room.
+	poolFloor = 3
+	// shrinkAfter is how long a pool must have too many hosts before it gives some up;
+	// a move there and back costs as much as a host for two seconds.
+	shrinkAfter = 1500 * time.Millisecond
+	// waveShare is the part of a wave's time in which it waits for the pools' troughs.
+	waveShare = 0.45
 	// connsPerAddress bounds the connections to one worker or service.
 	connsPerAddress = 24
 	// connsFromCallers bounds the callers' open connections, below the descriptors.
@@ -118,6 +128,13 @@
 		Name: loaded.Name, DataCentre: loaded.DataCentre, PeerAddress: loaded.PeerAddress,
 		Partitions: loaded.Platform.Partitions,
 		GroupTTL:   max(groupTTL, loaded.Platform.LeastGroupTTL.Std()),
+		Capacity: jobhost.Capacity{
+			HolderLease: b.HolderLease.Std(),
+			Options: capacity.Options{
+				Headroom: poolHeadroom, FloorHosts: poolFloor, ShrinkAfter: shrinkAfter, WaveShare: waveShare,
+				MoveTime: b.MoveTime.Std(), MaintenanceTime: b.MaintenanceTime.Std(),
+			},
+		},
 		Limits: schedule.Limits{
 			Lease: min(taskLease, b.MaxLease.Std()), MaxLease: b.MaxLease.Std(), MaxUnconfirmed: maxUnconfirmed, HoldWait: holdWait,
 			CheckpointEvery: b.CheckpointEvery.Std(), FarFactor: b.FarFactor, NoticeTime: b.NoticeTime.Std(),
--- a/internal/jobhost/fleet_owner.go
+++ b/internal/jobhost/fleet_owner.go
@@ -2,25 +2,78 @@
 
 import (
 	"context"
+	"strconv"
+	"strings"
 	"sync"
+	"time"
 
-	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
+	"github.com/hornbeammast/hornbeammast/internal/coordination/capacity"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/machine"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
 
-// Capacity steers how many hosts each pool gets.
-type Capacity struct{}
+const (
+	// fleetInterval is how often capacity is planned; demand changes within seconds.
+	fleetInterval = 250 * time.Millisecond
+	// machinesInterval is how often machines are listed while nothing is ordered.
+	machinesInterval = time.Second
+	// machineTimeout bounds one call of the machine service.
+	machineTimeout = 2 * time.Second
+	// orderPatience times the time that an order takes is how long its effect is
+	// awaited before the machine may be ordered again.
+	orderPatience = 3
+	// keyWave begins the key of a machine whose maintenance has begun in a wave.
+	keyWave = "wave/"
+)
+
+// Capacity steers how many machines each pool gets.
+type Capacity struct {
+	Options capacity.Options
+	// HolderLease is how long an earlier owner's orders are waited out.
+	HolderLease time.Duration
+}
 
 // fleetOwner is one tenure over machines: it moves them between pools and takes
 // them down for maintenance.
 type fleetOwner struct {
-	cancel context.CancelFunc
-	loops  sync.WaitGroup
+	host    *JobHost
+	token   int64
+	began   time.Time
+	cancel  context.CancelFunc
+	loops   sync.WaitGroup
+	planner *capacity.Planner
+
+	mu       sync.Mutex
+	ordered  map[string]*machineOrder
+	begun    map[int64]map[string]bool
+	waves    map[int64]*waveState
+	machines []machine.Machine
+	listedAt time.Time
+	fenced   bool
 }
 
-func startFleetOwner(_ *JobHost, _ int64) *fleetOwner {
-	_, cancel := context.WithCancel(context.Background())
-	return &fleetOwner{cancel: cancel}
+// machineOrder is an order under way.
+type machineOrder struct {
+	action   capacity.Action
+	sentAt   time.Time
+	accepted bool
+}
+
+// waveState is when a wave was seen and what was written of it.
+type waveState struct {
+	seenAt  time.Time
+	written string
+}
+
+func startFleetOwner(h *JobHost, token int64) *fleetOwner {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fleetOwner{
+		host: h, token: token, began: h.now(), cancel: cancel, planner: capacity.NewPlanner(h.settings.Capacity.Options),
+		ordered: map[string]*machineOrder{}, begun: map[int64]map[string]bool{}, waves: map[int64]*waveState{},
+	}
+	f.loops.Go(func() { f.run(ctx) })
+	return f
 }
 
 func (f *fleetOwner) stop() {
@@ -28,16 +81,263 @@
 	f.loops.Wait()
 }
 
-// loads gives the demand of the pools that are owned here.
-func (h *JobHost) loads() []*wire.PoolLoad { return nil }
+func (f *fleetOwner) partition() keyedlog.Partition { return keyedlog.Partition{Topic: TopicFleet} }
+
+// run plans until ctx ends, once it knows which maintenance earlier owners began.
+func (f *fleetOwner) run(ctx context.Context) {
+	for ctx.Err() == nil && !f.load(ctx) {
+		wait(ctx, retryPause)
+	}
+	for ctx.Err() == nil {
+		f.step(ctx)
+		wait(ctx, fleetInterval)
+	}
+}
+
+func (f *fleetOwner) load(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
+	defer cancel()
+	batch, err := f.host.platform.Log.Newest(ctx, f.partition())
+	if err != nil {
+		return false
+	}
+	for _, record := range batch.Records {
+		number, name, ok := strings.Cut(strings.TrimPrefix(record.Key, keyWave), "/")
+		wave, err := strconv.ParseInt(number, 10, 64)
+		if !ok || err != nil {
+			f.host.events.Event("record-unreadable", "topic", TopicFleet, "key", record.Key, "offset", record.Offset)
+			continue
+		}
+		f.markBegun(wave, name)
+	}
+	f.host.events.Event("fleet-loaded", "token", f.token, "keys", len(batch.Records))
+	return true
+}
+
+func (f *fleetOwner) markBegun(wave int64, name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.begun[wave] == nil {
+		f.begun[wave] = map[string]bool{}
+	}
+	f.begun[wave][name] = true
+}
+
+// mayOrder tells whether nobody else can hold the machines: the membership was
+// confirmed within its TTL, and an earlier owner's orders have been waited out.
+func (f *fleetOwner) mayOrder(now time.Time) bool {
+	return !f.fenced && now.Sub(f.host.keeper.Confirmed()) < f.host.settings.GroupTTL-confirmSlack &&
+		now.Sub(f.began) >= f.host.settings.Capacity.HolderLease
+}
+
+// confirmSlack is how long before its end a membership is not relied on any more.
+const confirmSlack = 500 * time.Millisecond
+
+func (f *fleetOwner) step(ctx context.Context) {
+	config := f.host.config()
+	if config == nil || !f.mayOrder(f.host.now()) {
+		return
+	}
+	f.list(ctx)
+	f.mu.Lock()
+	listed := len(f.machines) > 0
+	f.mu.Unlock()
+	if !listed {
+		return
+	}
+	loads := f.host.allLoads(ctx)
+	view := capacity.View{Now: f.host.now()}
+	for n := range config.Pools {
+		pool := &config.Pools[n]
+		view.Pools = append(view.Pools, capacity.Pool{Name: pool.Name, Spare: pool.Spare, Load: loads[pool.Name]})
+	}
+	f.fill(&view)
+	for _, action := range f.planner.Plan(view) {
+		f.act(ctx, action)
+	}
+	f.reportWaves(ctx, view.Waves)
+}
+
+// fill adds machines, waves and orders to a view.
+func (f *fleetOwner) fill(view *capacity.View) {
+	waves := f.host.operators.allWaves()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	view.Machines, view.ListedAt = f.machines, f.listedAt
+	view.Ordered = make(map[string]capacity.Order, len(f.ordered))
+	for name, o := range f.ordered {
+		view.Ordered[name] = capacity.Order{Action: o.action, SentAt: o.sentAt}
+	}
+	for _, w := range waves {
+		state, ok := f.waves[w.Number]
+		if !ok {
+			state = &waveState{seenAt: view.Now}
+			f.waves[w.Number] = state
+		}
+		begun := make(map[string]bool, len(f.begun[w.Number]))
+		for name := range f.begun[w.Number] {
+			begun[name] = true
+		}
+		view.Waves = append(view.Waves, capacity.Wave{Wave: w, SeenAt: state.seenAt, Begun: begun})
+	}
+}
+
+// list asks for the machines and finds out which orders have taken effect.
+func (f *fleetOwner) list(ctx context.Context) {
+	now := f.host.now()
+	f.mu.Lock()
+	due := now.Sub(f.listedAt) >= machinesInterval || len(f.ordered) > 0
+	f.mu.Unlock()
+	if !due {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, machineTimeout)
+	defer cancel()
+	machines, err := f.host.platform.Machines.List(ctx)
+	if err != nil {
+		f.host.events.Event("machines-unlisted", "error", err)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.machines, f.listedAt = machines, now
+	byName := make(map[string]*machine.Machine, len(machines))
+	for n := range machines {
+		byName[machines[n].Name] = &machines[n]
+	}
+	for name, o := range f.ordered {
+		if f.settled(o, byName[name], now) {
+			delete(f.ordered, name)
+		}
+	}
+}
+
+// settled tells whether an order has come to its end, as a list asked for at listed shows.
+func (f *fleetOwner) settled(o *machineOrder, m *machine.Machine, listed time.Time) bool {
+	if m == nil {
+		return true
+	}
+	takes := f.host.settings.Capacity.Options.MoveTime
+	if o.action.Kind == capacity.Maintain {
+		takes = f.host.settings.Capacity.Options.MaintenanceTime
+	}
+	if !o.accepted {
+		return false
+	}
+	if o.action.Kind == capacity.Move && m.State == machine.Up && m.Pool == o.action.To {
+		return true
+	}
+	if o.action.Kind == capacity.Maintain && m.State == machine.Up && listed.Sub(o.sentAt) > takes {
+		return true
+	}
+	return listed.Sub(o.sentAt) > orderPatience*takes && m.State != machine.Moving && m.State != machine.Maintenance
+}
+
+// act carries one action out.
+func (f *fleetOwner) act(ctx context.Context, a capacity.Action) {
+	if a.Kind == capacity.Cordon || a.Kind == capacity.Lift {
+		ok := f.host.cordon(ctx, a.Pool, a.Worker, a.Kind == capacity.Lift)
+		f.host.events.Event("host-"+a.Kind.String(), "machine", a.Machine, "host", a.Worker, "pool", a.Pool, "reason", a.Reason, "wave", a.Wave, "done", ok)
+		return
+	}
+	o := &machineOrder{action: a, sentAt: f.host.now()}
+	f.mu.Lock()
+	f.ordered[a.Machine] = o
+	f.mu.Unlock()
+	f.loops.Go(func() { f.order(ctx, o) })
+}
+
+// order sends an order until it is answered; it takes effect only once.
+func (f *fleetOwner) order(ctx context.Context, o *machineOrder) {
+	for ctx.Err() == nil {
+		if !f.mayOrder(f.host.now()) {
+			wait(ctx, fleetInterval)
+			continue
+		}
+		outcome, err := f.send(ctx, o.action)
+		f.host.events.Event("machine-ordered", "machine", o.action.Machine, "order", o.action.Kind, "pool", o.action.Pool, "to", o.action.To,
+			"wave", o.action.Wave, "reason", o.action.Reason, "fence", f.token, "outcome", outcome, "error", err)
+		if err == nil && outcome != machine.Limited {
+			f.answered(ctx, o, outcome)
+			return
+		}
+		wait(ctx, retryPause)
+	}
+}
+
+func (f *fleetOwner) send(ctx context.Context, a capacity.Action) (machine.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, machineTimeout)
+	defer cancel()
+	holder := machine.Holder{Name: f.host.settings.Name, Fence: worker.Fence(f.token)}
+	if a.Kind == capacity.Move {
+		return f.host.platform.Machines.Move(ctx, holder, a.Machine, a.To)
+	}
+	return f.host.platform.Machines.Maintain(ctx, holder, a.Machine, a.Wave)
+}
+
+func (f *fleetOwner) answered(ctx context.Context, o *machineOrder, outcome machine.Outcome) {
+	if outcome == machine.Accepted {
+		if o.action.Kind == capacity.Maintain {
+			f.markBegun(o.action.Wave, o.action.Machine)
+			f.record(ctx, o.action)
+		}
+		f.mu.Lock()
+		o.accepted = true
+		f.mu.Unlock()
+		return
+	}
+	f.mu.Lock()
+	delete(f.ordered, o.action.Machine)
+	f.listedAt = time.Time{}
+	fenced := outcome == machine.Fenced && !f.fenced
+	f.fenced = f.fenced || fenced
+	f.mu.Unlock()
+	if fenced {
+		f.host.loops.Go(func() { f.host.keeper.Reacquire(f.partition(), f.token) })
+	}
+}
+
+// record keeps for later owners that a machine's maintenance has begun. One that is
+// lost costs a second call, which changes nothing.
+func (f *fleetOwner) record(ctx context.Context, a capacity.Action) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	key := keyWave + strconv.FormatInt(a.Wave, 10) + "/" + a.Machine
+	if err := f.host.platform.Log.Append(ctx, f.partition(), []keyedlog.Record{{Key: key, Value: []byte{1}}}, nil); err != nil {
+		f.host.events.Event("record-delayed", "key", key, "error", err)
+	}
+}
+
+// reportWaves writes how waves stand.
+func (f *fleetOwner) reportWaves(ctx context.Context, waves []capacity.Wave) {
+	for n := range waves {
+		w := &waves[n]
+		done := w.Done(f.machines)
+		state := "running"
+		if done {
+			state = "done"
+		}
+		f.mu.Lock()
+		written := f.waves[w.Number].written
+		f.mu.Unlock()
+		if written == state {
+			continue
+		}
+		if f.writeStatus(ctx, w.Number, done) {
+			f.mu.Lock()
+			f.waves[w.Number].written = state
+			f.mu.Unlock()
+		}
+	}
+}
 
-// cordonHere keeps new work from a host of a pool that is owned here.
-func (h *JobHost) cordonHere(pool, id string, lift bool) (vacant, ok bool) {
-	_, r, ok := h.owned(pool)
-	if !ok {
-		return false, false
+func (f *fleetOwner) writeStatus(ctx context.Context, number int64, done bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	record, err := f.host.platform.Published.WaveStatus(number, done)
+	if err == nil {
+		err = f.host.platform.Log.Append(ctx, f.host.platform.Published.Status(), []keyedlog.Record{record}, nil)
 	}
-	vacant, ok = r.pool.Cordon(worker.ID(id), lift)
-	r.signal()
-	return vacant, ok
+	f.host.events.Event("wave-reported", "wave", number, "done", done, "error", err)
+	return err == nil
 }
