--- a/internal/coordination/schedule/ends.go
+++ b/internal/coordination/schedule/ends.go
@@ -137,6 +137,10 @@
 		}
 	}
 	t.step.entry.liveRuns--
+	if !t.step.entry.Ended() {
+		// The next record leaves the placement out.
+		t.step.entry.dirty = true
+	}
 	if t.step.def.LongRunning {
 		t.downSince = now
 	}
--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -67,7 +67,7 @@
 	if !h.confirmed {
 		p.events.Event("host-answers", "host", id, "pool", p.name, "life", reply.Life, "running", len(reply.Running), "ended", len(reply.Ended))
 	}
-	h.confirmed, h.resolved = true, true
+	h.confirmed = true
 	h.answered(now, reply.Clock)
 	h.extendExpiry()
 	for n := range reply.Ended {
@@ -105,10 +105,13 @@
 		if !known {
 			continue
 		}
-		if r.state == sending || r.state == unsure {
+		switch r.state {
+		case sending, unsure:
 			// It may have reached the new life.
 			r.state = unsure
 			continue
+		case recording:
+			continue
 		}
 		p.release(r, now, worker.HowLapsed)
 	}
@@ -125,8 +128,9 @@
 		if r == nil {
 			continue
 		}
-		if r.state == sending || r.state == unsure {
+		if r.state == sending || r.state == unsure || r.state == inherited {
 			r.state, r.onAt = on, now
+			p.reconsider(r)
 		}
 		if row.Checkpoint != "" {
 			r.checkpoint = row.Checkpoint
@@ -156,17 +160,9 @@
 		task: t, name: row.Task, number: row.Run, host: h, needs: t.step.def.Reserved(), state: on, adopted: true,
 		sentAt: now, onAt: now, percent: row.Percent, paceSent: row.Percent,
 	}
-	busy := t.working() > 0
 	p.attach(r)
 	e.begun = true
-	switch {
-	case e.Ended() || t.done():
-		p.stop(r, "ended")
-	case t.step.def.Gang && t.step.gangRun > row.Run:
-		p.stop(r, "gang-replaced")
-	case busy && !t.step.def.Speculative:
-		p.stop(r, "duplicate")
-	}
+	p.reconsider(r)
 	if t.step.def.Gang {
 		t.step.gangRun = max(t.step.gangRun, row.Run)
 	}
@@ -174,6 +170,20 @@
 	return r
 }
 
+// reconsider stops a run of an earlier owner that should not go on.
+func (p *Pool) reconsider(r *run) {
+	t := r.task
+	switch {
+	case !r.adopted:
+	case t.step.entry.Ended() || t.done():
+		p.stop(r, "ended")
+	case t.step.def.Gang && t.step.gangRun > r.number:
+		p.stop(r, "gang-replaced")
+	case t.working() > 1 && !t.step.def.Speculative:
+		p.stop(r, "duplicate")
+	}
+}
+
 // missing finds runs that should be there and are not.
 func (p *Pool) missing(h *host, rows []worker.Running, sent, now time.Time) {
 	there := make(map[runKey]struct{}, len(rows))
@@ -192,6 +202,10 @@
 		switch {
 		case r.state == stopping && !r.stopAckedAt.IsZero() && r.stopAckedAt.Before(sent):
 			p.release(r, now, worker.HowStopped)
+		case r.state == inherited:
+			// The worker has seen this owner's token, so an earlier one's start that is
+			// still on its way is refused.
+			p.release(r, now, worker.HowLapsed)
 		case r.state == on && r.onAt.Before(sent):
 			p.stop(r, "vanished")
 		}
--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -15,9 +15,6 @@
 	// started before.
 	confirmed bool
 	life      worker.Life
-	// resolved is set once the worker has answered this owner, or can't run
-	// anything of an earlier owner any more.
-	resolved bool
 	// clock is the worker's clock at clockAt, when its answer came.
 	clock   time.Duration
 	clockAt time.Time
@@ -59,6 +56,11 @@
 		!now.Before(h.pausedUntil) && h.starting < maxStartsPerHost && h.health.admits(now, len(h.runs))
 }
 
+// reachable tells whether an order that is ready may still go to the host.
+func (h *host) reachable() bool {
+	return h.listed && h.confirmed && !h.report.Draining && !h.cordoned
+}
+
 // clockNow estimates the worker's clock; it is never ahead of the worker by more
 // than the drift.
 func (h *host) clockNow(now time.Time) time.Duration {
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -9,9 +9,6 @@
 
 // place starts what fits, the most urgent first.
 func (p *Pool) place(now time.Time, orders *Orders) {
-	if p.unresolved(now) {
-		return
-	}
 	waiting := false
 	for _, c := range p.candidates(now) {
 		if c.step.entry.NeedsAdvice {
@@ -38,20 +35,6 @@
 	}
 }
 
-// unresolved tells whether an earlier owner's runs may go on unseen; nothing is
-// started before, since it might run twice.
-func (p *Pool) unresolved(now time.Time) bool {
-	if !now.Before(p.resolvedBy) {
-		return false
-	}
-	for _, h := range p.hosts {
-		if !h.resolved {
-			return true
-		}
-	}
-	return false
-}
-
 // nextRun gives a run number above all earlier ones of the task, those of earlier
 // owners included.
 func (t *task) nextRun(fence worker.Fence) int64 {
@@ -150,28 +133,41 @@
 	return best
 }
 
-// start puts a run on a host and adds the order.
+// start puts a run on a host; its order goes out once the placement is recorded.
 func (p *Pool) start(t *task, h *host, number int64, now time.Time, orders *Orders) *run {
 	e := t.step.entry
 	r := &run{
-		task: t, name: t.name(), number: number, host: h, needs: t.step.def.Reserved(), state: sending, sentAt: now,
-		resumed: t.checkpoint != "", percent: fullSpeed, paceSent: fullSpeed, checkpoint: t.checkpoint,
+		task: t, name: t.name(), number: number, host: h, needs: t.step.def.Reserved(), state: recording, unsent: true,
+		sentAt: now, resumed: t.checkpoint != "", percent: fullSpeed, paceSent: fullSpeed, checkpoint: t.checkpoint,
 	}
 	p.attach(r)
 	h.starting++
-	e.begun = true
-	text, _ := t.step.ticketFor(h, now)
-	orders.Starts = append(orders.Starts, Start{
+	e.begun, e.dirty = true, true
+	orders.Placed = true
+	return r
+}
+
+// startOrder makes the order of a run whose placement is recorded.
+func (p *Pool) startOrder(r *run, now time.Time) Start {
+	e, h := r.task.step.entry, r.host
+	text, _ := r.task.step.ticketFor(h, now)
+	r.state, r.unsent, r.sentAt = sending, false, now
+	p.events.Event("run-start", "task", r.name, "run", r.number, "host", h.report.ID, "fence", int64(p.fence),
+		"waited", now.Sub(e.AcceptedAt), "left-to-objective", e.objective(r.name.Occurrence).Sub(now),
+		"heard", now.Sub(h.heardAt), "checkpoint", r.checkpoint)
+	return Start{
 		Target: worker.Target{ID: h.report.ID, Address: h.report.Address},
 		Order: worker.StartOrder{
-			Task: r.name, Run: number, Spec: e.Spec, LeaseEnd: h.nextLease(now, p.limits.Lease), Fence: p.fence,
-			Checkpoint: t.checkpoint, Ticket: text,
+			Task: r.name, Run: r.number, Spec: e.Spec, LeaseEnd: h.nextLease(now, p.limits.Lease), Fence: p.fence,
+			Checkpoint: r.checkpoint, Ticket: text,
 		},
-	})
-	p.events.Event("run-start", "task", r.name, "run", number, "host", h.report.ID, "fence", int64(p.fence),
-		"waited", now.Sub(e.AcceptedAt), "left-to-objective", e.objective(t.step.occurrence).Sub(now),
-		"heard", now.Sub(h.heardAt), "checkpoint", t.checkpoint)
-	return r
+	}
+}
+
+// abandon takes back a run that was never sent.
+func (p *Pool) abandon(r *run, now time.Time) {
+	r.host.starting--
+	p.release(r, now, worker.HowStopped)
 }
 
 // placeGang starts all tasks of a gang or none.
@@ -180,7 +176,6 @@
 	for _, t := range c.tasks {
 		number = max(number, t.nextRun(p.fence))
 	}
-	before := len(orders.Starts)
 	var placed []*run
 	for _, t := range c.tasks {
 		h := p.bestHost(t, now)
@@ -194,10 +189,8 @@
 		return true
 	}
 	for _, r := range placed {
-		r.host.starting--
-		p.release(r, now, worker.HowStopped)
+		p.abandon(r, now)
 	}
-	orders.Starts = orders.Starts[:before]
 	return false
 }
 
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -8,7 +8,8 @@
 
 // Orders are what has to be sent.
 type Orders struct {
-	Starts    []Start
+	// Placed tells that starts wait for their record.
+	Placed    bool
 	Stops     []Stop
 	Paces     []Pace
 	Questions []Question
@@ -55,15 +56,13 @@
 		if now.Before(h.expiry) {
 			continue
 		}
-		if !h.resolved {
-			h.resolved = true
-			p.events.Event("host-resolved", "host", h.report.ID, "pool", p.name, "by", "lease")
-		}
 		if h.confirmed {
 			continue
 		}
 		for _, r := range h.runs {
-			p.release(r, now, worker.HowLapsed)
+			if !r.unsent {
+				p.release(r, now, worker.HowLapsed)
+			}
 		}
 		clear(h.foreign)
 	}
@@ -74,7 +73,7 @@
 	for _, h := range p.hosts {
 		for _, r := range h.runs {
 			switch {
-			case r.state == stopping:
+			case r.state == stopping || r.state == inherited:
 			case r.task.step.entry.Ended():
 				p.stop(r, "job-ended")
 			case r.task.done():
@@ -162,7 +161,7 @@
 	for id, h := range p.hosts {
 		target := worker.Target{ID: id, Address: h.report.Address}
 		for _, r := range h.runs {
-			if r.state != stopping || now.Sub(r.stopSentAt) < stopRetry {
+			if r.state != stopping || r.unsent || now.Sub(r.stopSentAt) < stopRetry {
 				continue
 			}
 			p.events.Event("run-stop", "task", r.name, "run", r.number, "host", id, "reason", r.stopReason)
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -25,7 +25,7 @@
 
 	mu sync.Mutex
 	// resolvedBy is when everything that an earlier owner started on hosts that
-	// don't answer has ended.
+	// don't answer has ended: it stops acting, and then the longest lease runs out.
 	resolvedBy time.Time
 	guarded    bool
 	jobs       map[job.ID]*entry
@@ -73,9 +73,36 @@
 	if _, ok := p.jobs[j.ID]; ok {
 		return
 	}
-	p.jobs[j.ID] = &entry{
+	e := &entry{
 		Job: j, chain: j.Chain(), recorded: j.Final(), steps: map[stepKey]*step{},
-		begun: j.Begun(),
+		begun: j.Begun() || len(j.Placements) > 0,
+	}
+	p.jobs[j.ID] = e
+	for _, placed := range j.Placements {
+		p.inherit(e, placed)
+	}
+	j.Placements = nil
+}
+
+// inherit takes over a run that an earlier owner has recorded. Its task is not
+// started again before its host has told of it, or can't run it any more.
+func (p *Pool) inherit(e *entry, placed jobs.Placement) {
+	h, ok := p.hosts[placed.Host]
+	if !ok {
+		h = newHost(worker.Report{ID: placed.Host, Pool: p.name})
+		h.expiry = p.resolvedBy
+		p.hosts[placed.Host] = h
+	}
+	t := e.task(placed.Task)
+	if t == nil || e.Ended() {
+		return
+	}
+	p.attach(&run{
+		task: t, name: placed.Task, number: placed.Run, host: h, needs: t.step.def.Reserved(), state: inherited,
+		adopted: true, percent: fullSpeed, paceSent: fullSpeed,
+	})
+	if t.step.def.Gang {
+		t.step.gangRun = max(t.step.gangRun, placed.Run)
 	}
 }
 
@@ -159,7 +186,7 @@
 			h.listed = false
 			p.events.Event("host-unlisted", "host", id, "pool", p.name, "runs", len(h.runs))
 		}
-		if len(h.runs) == 0 && h.resolved && !now.Before(h.expiry) {
+		if len(h.runs) == 0 && !now.Before(h.expiry) {
 			delete(p.hosts, id)
 		}
 	}
@@ -189,7 +216,9 @@
 	defer p.mu.Unlock()
 	targets := make([]worker.Target, 0, len(p.hosts))
 	for id, h := range p.hosts {
-		targets = append(targets, worker.Target{ID: id, Address: h.report.Address})
+		if h.report.Address.IsValid() {
+			targets = append(targets, worker.Target{ID: id, Address: h.report.Address})
+		}
 	}
 	return targets
 }
@@ -211,5 +240,5 @@
 
 // vacant tells whether nothing runs on the host, and nothing unknown may.
 func (h *host) vacant() bool {
-	return len(h.runs) == 0 && len(h.foreign) == 0 && h.resolved && h.confirmed
+	return len(h.runs) == 0 && len(h.foreign) == 0 && h.confirmed
 }
--- a/internal/coordination/schedule/record.go
+++ b/internal/coordination/schedule/record.go
@@ -5,6 +5,7 @@
 
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
+	"github.com/hornbeammast/hornbeammast/internal/state/jobs"
 )
 
 // Unrecorded is what has ended since the last record, to be written in one go.
@@ -12,6 +13,7 @@
 	// Progress has the whole progress of each job that changed.
 	Progress map[job.ID][]byte
 	finals   map[job.ID]job.State
+	placed   []*run
 	ends     map[worker.ID]endMark
 }
 
@@ -33,6 +35,7 @@
 		if !e.dirty {
 			continue
 		}
+		e.Placements, u.placed = e.placements(u.placed)
 		data, err := e.MarshalProgress()
 		if err != nil {
 			return u, err
@@ -49,11 +52,41 @@
 	return u, nil
 }
 
-// Recorded notes that all of it is in the log: workers may forget the ends, and
-// callers be told of them.
-func (p *Pool) Recorded(u Unrecorded, now time.Time) {
+// placements lists the runs that may be on hosts once this is recorded; those that
+// wait for it are added to waiting.
+func (e *entry) placements(waiting []*run) ([]jobs.Placement, []*run) {
+	if e.Ended() {
+		return nil, waiting
+	}
+	var placed []jobs.Placement
+	for _, s := range e.steps {
+		for _, t := range s.tasks {
+			for _, r := range t.runs {
+				placed = append(placed, jobs.Placement{Task: r.name, Run: r.number, Host: r.host.report.ID})
+				if r.unsent {
+					waiting = append(waiting, r)
+				}
+			}
+		}
+	}
+	return placed, waiting
+}
+
+// Recorded notes that all of it is in the log: workers may forget the ends, callers
+// be told of them, and the starts that are given be sent.
+func (p *Pool) Recorded(u Unrecorded, now time.Time) []Start {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	var starts []Start
+	for _, r := range u.placed {
+		switch {
+		case r.host.runs[r.key()] != r || !r.unsent:
+		case r.state != recording || r.task.step.entry.Ended() || r.task.done() || !r.host.reachable():
+			p.abandon(r, now)
+		default:
+			starts = append(starts, p.startOrder(r, now))
+		}
+	}
 	for id, final := range u.finals {
 		if e, ok := p.jobs[id]; ok && e.recorded == "" && final != "" {
 			e.recorded = final
@@ -65,6 +98,7 @@
 			h.noted = max(h.noted, mark.number)
 		}
 	}
+	return starts
 }
 
 // Unwritten gives back what could not be written.
--- a/internal/coordination/schedule/task.go
+++ b/internal/coordination/schedule/task.go
@@ -59,8 +59,12 @@
 type runState int
 
 const (
+	// recording: the placement is being recorded; nothing has been sent.
+	recording runState = iota
+	// inherited: an earlier owner recorded it; its host has not been heard from.
+	inherited
 	// sending: the start is on its way.
-	sending runState = iota
+	sending
 	// unsure: the start got no answer and may yet take effect.
 	unsure
 	// on: the host has it.
@@ -85,6 +89,8 @@
 	stopAckedAt time.Time
 	stopReason  string
 	checkpoint  string
+	// unsent is set until the start is sent.
+	unsent bool
 	// resumed is set when it began from a checkpoint, adopted when an earlier owner
 	// started it; their times tell nothing about the task.
 	resumed, adopted bool
--- a/internal/jobhost/conversation.go
+++ b/internal/jobhost/conversation.go
@@ -63,7 +63,7 @@
 	}
 	c.runner.pool.Held(id, sent, now, reply)
 	if len(reply.Ended) > 0 {
-		c.runner.ends()
+		c.runner.record()
 	}
 	c.runner.signal()
 	return !reply.Fenced
--- a/internal/jobhost/partition.go
+++ b/internal/jobhost/partition.go
@@ -133,7 +133,7 @@
 		return r
 	}
 	r := &poolRunner{
-		host: p.host, wake: make(chan struct{}, 1), ends: p.recorder.signal, talking: map[worker.ID]*conversation{},
+		host: p.host, wake: make(chan struct{}, 1), record: p.recorder.signal, talking: map[worker.ID]*conversation{},
 		pool: schedule.New(pool, worker.Fence(p.token), p.host.limits(), p.host.now(), p.host.events),
 	}
 	p.pools[pool] = r
--- a/internal/jobhost/pool_runner.go
+++ b/internal/jobhost/pool_runner.go
@@ -31,8 +31,8 @@
 	pool  *schedule.Pool
 	wake  chan struct{}
 	loops sync.WaitGroup
-	// ends tells the partition's recorder that something has ended.
-	ends func()
+	// record tells the partition's recorder that there is something to record.
+	record func()
 
 	mu      sync.Mutex
 	talking map[worker.ID]*conversation
@@ -68,8 +68,8 @@
 		return
 	}
 	orders := r.pool.Plan(now)
-	for _, order := range orders.Starts {
-		r.send(ctx, order.Target, func(ctx context.Context) { r.start(ctx, order) })
+	if orders.Placed {
+		r.record()
 	}
 	for _, order := range orders.Stops {
 		r.send(ctx, order.Target, func(ctx context.Context) { r.stop(ctx, order) })
@@ -119,6 +119,13 @@
 	})
 }
 
+// startAll sends the starts whose placement is recorded.
+func (r *poolRunner) startAll(ctx context.Context, starts []schedule.Start) {
+	for _, order := range starts {
+		r.send(ctx, order.Target, func(ctx context.Context) { r.start(ctx, order) })
+	}
+}
+
 func (r *poolRunner) start(ctx context.Context, start schedule.Start) {
 	// The tenure may have run out while the order waited for its turn.
 	if !r.host.mayAct(r.host.now()) {
--- a/internal/jobhost/recorder.go
+++ b/internal/jobhost/recorder.go
@@ -102,7 +102,7 @@
 	written := len(records) == 0 || r.append(ctx, records)
 	for _, t := range all {
 		if written {
-			t.runner.pool.Recorded(t.what, r.partition.host.now())
+			t.runner.startAll(ctx, t.runner.pool.Recorded(t.what, r.partition.host.now()))
 			t.runner.signal()
 		} else {
 			t.runner.pool.Unwritten(t.what)
--- a/internal/state/jobs/job.go
+++ b/internal/state/jobs/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
 
 // Job is a submission and what has ended of it.
@@ -16,10 +17,20 @@
 	// EndedAt is zero while something may still run.
 	EndedAt time.Time
 
+	// Placements are the runs that may be on hosts, as last recorded.
+	Placements []Placement
+
 	occurrences map[int]*Occurrence
 	done        int
 }
 
+// Placement is a run and its host, recorded before the run is started.
+type Placement struct {
+	Task worker.TaskName
+	Run  int64
+	Host worker.ID
+}
+
 // Occurrence is one run through a job's steps.
 type Occurrence struct {
 	Number int
--- a/internal/state/jobs/progress.go
+++ b/internal/state/jobs/progress.go
@@ -8,9 +8,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
 
-// MarshalProgress writes all that has ended.
+// MarshalProgress writes all that has ended and the placements.
 func (j *Job) MarshalProgress() ([]byte, error) {
 	m := &wire.JobProgress{Failed: j.Failed}
 	if !j.EndedAt.IsZero() {
@@ -26,6 +27,12 @@
 			m.Occurrences = append(m.Occurrences, o)
 		}
 	}
+	for _, p := range j.Placements {
+		m.Placements = append(m.Placements, &wire.Placement{
+			Occurrence: int32(p.Task.Occurrence), Step: int32(p.Task.Step), Index: int32(p.Task.Index), //nolint:gosec // Bounded by the job's checks.
+			Run: p.Run, Host: string(p.Host),
+		})
+	}
 	data, err := proto.Marshal(m)
 	return data, errors.Wrap(err, "write the progress")
 }
@@ -80,6 +87,14 @@
 	if m.GetFailed() && !j.Failed {
 		j.Fail(ended)
 	}
+	j.Placements = nil
+	for _, p := range m.GetPlacements() {
+		name := worker.TaskName{Job: string(j.ID), Occurrence: int(p.GetOccurrence()), Step: int(p.GetStep()), Index: int(p.GetIndex())}
+		if !j.Has(name.Occurrence, name.Step, name.Index) {
+			return errors.Newf("a run of task %s, which the job does not have", name)
+		}
+		j.Placements = append(j.Placements, Placement{Task: name, Run: p.GetRun(), Host: worker.ID(p.GetHost())})
+	}
 	return nil
 }
 
