Ended workers are told to their pool's owner; shorter reads; batched submissions

Change: the list of machines shows which workers have ended; reads wait 1 s; submissions of one partition share an append.

--- a/internal/coordination/schedule/load.go
+++ b/internal/coordination/schedule/load.go
@@ -27,6 +27,8 @@
 	Vacant bool
 	// Loss is the work that ending its runs now would lose, in core-milliseconds.
 	Loss int64
+	// Silent: it does not answer.
+	Silent bool
 }
 
 // Load gives the pool's demand.
@@ -77,7 +79,7 @@
 }
 
 func (h *host) load(now time.Time) HostLoad {
-	load := HostLoad{Runs: len(h.runs), Cordoned: h.cordoned, Vacant: h.cordoned && h.vacant()}
+	load := HostLoad{Silent: !h.confirmed, Runs: len(h.runs), Cordoned: h.cordoned, Vacant: h.cordoned && h.vacant()}
 	for _, r := range h.runs {
 		def := r.task.step.def
 		if def.LongRunning {
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -59,13 +59,18 @@
 		if h.confirmed {
 			continue
 		}
-		for _, r := range h.runs {
-			if !r.unsent {
-				p.release(r, now, worker.HowLapsed)
-			}
+		p.lapse(h, now)
+	}
+}
+
+// lapse releases all runs of a host that has certainly ended them.
+func (p *Pool) lapse(h *host, now time.Time) {
+	for _, r := range h.runs {
+		if !r.unsent {
+			p.release(r, now, worker.HowLapsed)
 		}
-		clear(h.foreign)
 	}
+	clear(h.foreign)
 }
 
 // review stops runs that should not go on.
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -210,6 +210,20 @@
 	h.report, h.listed = report, true
 }
 
+// Gone takes that a worker has ended, from the list of machines: nothing that it
+// ran runs any more. One that answers was not meant.
+func (p *Pool) Gone(id worker.ID, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h, ok := p.hosts[id]
+	if !ok || h.confirmed {
+		return
+	}
+	p.events.Event("host-gone", "host", id, "pool", p.name, "runs", len(h.runs), "heard", h.heardAt)
+	h.expiry = now
+	p.lapse(h, now)
+}
+
 // Hosts lists the hosts to hold a conversation with.
 func (p *Pool) Hosts() []worker.Target {
 	p.mu.Lock()
--- a/internal/jobhost/answers.go
+++ b/internal/jobhost/answers.go
@@ -74,6 +74,11 @@
 	return &wire.CordonReply{Owner: ok, Vacant: vacant}, nil
 }
 
+// Gone takes that a worker has ended.
+func (a peerAnswers) Gone(_ context.Context, request *wire.GoneRequest) (*wire.GoneReply, error) {
+	return &wire.GoneReply{Owner: a.host.goneHere(request.GetPool(), request.GetHost())}, nil
+}
+
 // Relay adds a record for an entry host that the log turns away.
 func (a peerAnswers) Relay(ctx context.Context, request *wire.RelayRequest) (*wire.RelayReply, error) {
 	return a.host.relayHere(ctx, request), nil
--- a/internal/jobhost/fleet_owner.go
+++ b/internal/jobhost/fleet_owner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/coordination/capacity"
+	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/machine"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
@@ -126,8 +127,13 @@
 // mayOrder tells whether nobody else can hold the machines: the membership was
 // confirmed within its TTL, and an earlier owner's orders have been waited out.
 func (f *fleetOwner) mayOrder(now time.Time) bool {
-	return !f.fenced && now.Sub(f.host.keeper.Confirmed()) < f.host.settings.GroupTTL-confirmSlack &&
-		now.Sub(f.began) >= f.host.settings.Capacity.HolderLease
+	return f.confirmed(now) && now.Sub(f.began) >= f.host.settings.Capacity.HolderLease
+}
+
+func (f *fleetOwner) confirmed(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.fenced && now.Sub(f.host.keeper.Confirmed()) < f.host.settings.GroupTTL-confirmSlack
 }
 
 // confirmSlack is how long before its end a membership is not relied on any more.
@@ -135,17 +141,19 @@
 
 func (f *fleetOwner) step(ctx context.Context) {
 	config := f.host.config()
-	if config == nil || !f.mayOrder(f.host.now()) {
+	if config == nil || !f.confirmed(f.host.now()) {
 		return
 	}
 	f.list(ctx)
-	f.mu.Lock()
-	listed := len(f.machines) > 0
-	f.mu.Unlock()
-	if !listed {
+	machines := f.listed()
+	if len(machines) == 0 {
 		return
 	}
 	loads := f.host.allLoads(ctx)
+	f.tellGone(ctx, machines, loads)
+	if !f.mayOrder(f.host.now()) {
+		return
+	}
 	view := capacity.View{Now: f.host.now()}
 	for n := range config.Pools {
 		pool := &config.Pools[n]
@@ -158,6 +166,28 @@
 	f.reportWaves(ctx, view.Waves)
 }
 
+func (f *fleetOwner) listed() []machine.Machine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.machines
+}
+
+// tellGone tells the pools' owners which workers that don't answer have ended: those
+// that are the worker of no machine.
+func (f *fleetOwner) tellGone(ctx context.Context, machines []machine.Machine, loads map[string]*schedule.Load) {
+	alive := make(map[worker.ID]struct{}, len(machines))
+	for n := range machines {
+		alive[machines[n].Worker] = struct{}{}
+	}
+	for pool, load := range loads {
+		for id, h := range load.Hosts {
+			if _, ok := alive[id]; !ok && h.Silent && h.Runs > 0 {
+				f.host.gone(ctx, pool, id)
+			}
+		}
+	}
+}
+
 // fill adds machines, waves and orders to a view.
 func (f *fleetOwner) fill(view *capacity.View) {
 	waves := f.host.operators.allWaves()
@@ -200,6 +230,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.noteChanges(machines)
 	f.machines, f.listedAt = machines, now
 	byName := make(map[string]*machine.Machine, len(machines))
 	for n := range machines {
@@ -212,6 +243,21 @@
 	}
 }
 
+// noteChanges logs which machines changed their state or worker since the last list.
+func (f *fleetOwner) noteChanges(machines []machine.Machine) {
+	before := make(map[string]*machine.Machine, len(f.machines))
+	for n := range f.machines {
+		before[f.machines[n].Name] = &f.machines[n]
+	}
+	for n := range machines {
+		m := &machines[n]
+		if b, ok := before[m.Name]; ok && (b.State != m.State || b.Worker != m.Worker) {
+			f.host.events.Event("machine-changed", "machine", m.Name, "pool", m.Pool, "state", m.State, "before", b.State,
+				"worker", m.Worker, "worker-before", b.Worker)
+		}
+	}
+}
+
 // settled tells whether an order has come to its end, as a list asked for at listed shows.
 func (f *fleetOwner) settled(o *machineOrder, m *machine.Machine, listed time.Time) bool {
 	if m == nil {
--- a/internal/jobhost/follower.go
+++ b/internal/jobhost/follower.go
@@ -14,9 +14,10 @@
 const (
 	// readWait is how long a read waits for news; short enough to notice a
 	// connection that went silent.
-	readWait = 4 * time.Second
-	// readSlack is what a read may take beyond its wait.
-	readSlack = 1500 * time.Millisecond
+	readWait = time.Second
+	// readSlack is what a read may take beyond its wait; with it, a configuration is
+	// in force within its two seconds even if the answer is lost.
+	readSlack = 500 * time.Millisecond
 	// newestTimeout bounds the reading of all keys.
 	newestTimeout = 5 * time.Second
 	// retryPause is the pause after a failed call of the log.
@@ -35,6 +36,9 @@
 	// ready is called once all records that were there at the start have been taken.
 	ready func()
 
+	// gather is how long to let records come together after a read that brought some.
+	gather time.Duration
+
 	from int64
 	// position is from, for others to read.
 	position atomic.Int64
@@ -65,7 +69,10 @@
 	if !f.loaded {
 		return f.load(ctx)
 	}
-	_, err := f.read(ctx, readWait)
+	batch, err := f.read(ctx, readWait)
+	if len(batch.Records) > 0 && f.gather > 0 {
+		wait(ctx, f.gather)
+	}
 	if errors.Is(err, keyedlog.ErrTrimmed) {
 		f.events.Event("log-trimmed", "topic", f.partition.Topic, "partition", f.partition.Number, "offset", f.from)
 		f.loaded = false
--- a/internal/jobhost/job_host.go
+++ b/internal/jobhost/job_host.go
@@ -26,6 +26,8 @@
 	TopicJobs = "keyed.jobs"
 	// TopicFleet is dealt for its first partition: its owner moves and maintains machines.
 	TopicFleet = "keyed.fleet"
+	// hostsGather is how long the reports of hosts are gathered; they come all the time.
+	hostsGather = 250 * time.Millisecond
 	// groupName is the group of all entry hosts.
 	groupName = "entry-hosts"
 )
@@ -89,7 +91,7 @@
 	h.keeper = owner.New(platform.Log, h, events, now, keyedlog.JoinRequest{
 		Group: groupName, Member: member, Topics: []string{TopicJobs, TopicFleet}, TTL: s.GroupTTL,
 	})
-	h.intake = intake.New(logRecorder{h}, h.directory, events, now)
+	h.intake = intake.New(newLogRecorder(h), h.directory, events, now)
 	h.startLoops(ctx)
 	events.Event("job-host-started", "name", s.Name, "data-centre", s.DataCentre, "member", member, "peer", server.Address())
 	return h, nil
@@ -102,7 +104,7 @@
 	}
 	hosts := &follower{
 		log: h.platform.Log, events: h.events, partition: h.platform.Published.Hosts(), now: h.now,
-		reset: h.hosts.reset, take: h.hosts.take,
+		reset: h.hosts.reset, take: h.hosts.take, gather: hostsGather,
 	}
 	h.loops.Go(func() { operators.run(ctx) })
 	h.loops.Go(func() { hosts.run(ctx) })
--- a/internal/jobhost/loads.go
+++ b/internal/jobhost/loads.go
@@ -36,7 +36,7 @@
 	for id, h := range load.Hosts {
 		m.Hosts = append(m.Hosts, &wire.HostLoad{
 			Id: string(id), Runs: int32(h.Runs), LongRunning: int32(h.LongRunning), //nolint:gosec // Bounded by a host's room.
-			Cordoned: h.Cordoned, Vacant: h.Vacant, LossCoreMs: h.Loss,
+			Cordoned: h.Cordoned, Vacant: h.Vacant, LossCoreMs: h.Loss, Silent: h.Silent,
 		})
 	}
 	return m
@@ -51,7 +51,7 @@
 	}
 	for _, h := range m.GetHosts() {
 		load.Hosts[worker.ID(h.GetId())] = schedule.HostLoad{
-			Runs: int(h.GetRuns()), LongRunning: int(h.GetLongRunning()), Cordoned: h.GetCordoned(), Vacant: h.GetVacant(), Loss: h.GetLossCoreMs(),
+			Runs: int(h.GetRuns()), LongRunning: int(h.GetLongRunning()), Cordoned: h.GetCordoned(), Vacant: h.GetVacant(), Loss: h.GetLossCoreMs(), Silent: h.GetSilent(),
 		}
 	}
 	return load
@@ -105,3 +105,27 @@
 	reply, err := h.peers.Cordon(ctx, address, &wire.CordonRequest{Pool: pool, Host: string(id), Lift: lift})
 	return err == nil && reply.GetOwner()
 }
+
+// goneHere takes that a worker of a pool that is owned here has ended.
+func (h *JobHost) goneHere(pool, id string) bool {
+	_, r, ok := h.owned(pool)
+	if !ok {
+		return false
+	}
+	r.pool.Gone(worker.ID(id), h.now())
+	r.signal()
+	return true
+}
+
+// gone tells the owner of a pool that a worker has ended.
+func (h *JobHost) gone(ctx context.Context, pool string, id worker.ID) {
+	if h.goneHere(pool, string(id)) {
+		return
+	}
+	address, ok := h.directory.ownerOf(ctx, pool)
+	if !ok {
+		return
+	}
+	// If it is lost, the next list of machines shows the same.
+	_, _ = h.peers.Gone(ctx, address, &wire.GoneRequest{Pool: pool, Host: string(id)})
+}
--- a/internal/jobhost/log_recorder.go
+++ b/internal/jobhost/log_recorder.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"github.com/hornbeammast/hornbeammast/internal/pause"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/verdict"
@@ -12,13 +14,35 @@
 
 // logRecorder adds what callers ask to the log, through a peer when the log turns
 // this entry host away.
-type logRecorder struct{ host *JobHost }
+type logRecorder struct {
+	host *JobHost
 
-// submitTimeout bounds an append for a caller.
-const submitTimeout = 1200 * time.Millisecond
+	mu      sync.Mutex
+	batches map[keyedlog.Partition]*batch
+}
+
+// batch gathers the records that come while an append is on its way.
+type batch struct {
+	records []keyedlog.Record
+	done    chan struct{}
+	err     error
+}
+
+const (
+	// submitTimeout bounds an append for callers.
+	submitTimeout = 1200 * time.Millisecond
+	// submitRetry is the pause before an append is tried again.
+	submitRetry = 100 * time.Millisecond
+	// relayPeers is how many peers are asked when the log turns this entry host away.
+	relayPeers = 2
+)
+
+func newLogRecorder(h *JobHost) *logRecorder {
+	return &logRecorder{host: h, batches: map[keyedlog.Partition]*batch{}}
+}
 
 // Submit records a job.
-func (l logRecorder) Submit(ctx context.Context, j *job.Job) error {
+func (l *logRecorder) Submit(ctx context.Context, j *job.Job) error {
 	data, err := j.Marshal()
 	if err != nil {
 		return err
@@ -30,45 +54,104 @@
 }
 
 // Cancel records a cancel.
-func (l logRecorder) Cancel(ctx context.Context, pool string, id job.ID) error {
+func (l *logRecorder) Cancel(ctx context.Context, pool string, id job.ID) error {
 	began := time.Now()
 	err := l.add(ctx, pool, keyedlog.Record{Key: keyCancel + string(id), Value: []byte{1}})
 	l.host.metrics.cancel.observe(time.Since(began), err)
 	return err
 }
 
-// add appends a record here, then through peers. The records are whole and keyed,
-// so that one which is added twice changes nothing.
-func (l logRecorder) add(ctx context.Context, pool string, record keyedlog.Record) error {
+// add appends a record, with others that come meanwhile, and through peers if the
+// log does not take it. The records are whole and keyed, so that one which is added
+// twice changes nothing: while an answer is missing, the record is added again.
+func (l *logRecorder) add(ctx context.Context, pool string, record keyedlog.Record) error {
 	partition := l.host.partitionOf(pool)
-	call, cancel := context.WithTimeout(ctx, submitTimeout)
-	defer cancel()
-	err := l.host.platform.Log.Append(call, partition, []keyedlog.Record{record}, nil)
-	if err == nil {
-		return nil
+	mayHaveRun := false
+	for {
+		err := l.append(ctx, partition, record)
+		if err == nil {
+			return nil
+		}
+		mayHaveRun = mayHaveRun || verdict.Of(err).Verdict != verdict.NotRun
+		relayed, doubt := l.relay(ctx, partition, record, err)
+		if relayed {
+			return nil
+		}
+		mayHaveRun = mayHaveRun || doubt
+		if !mayHaveRun {
+			return verdict.Refuse(verdict.CauseNotServing, "the log can't be reached: "+err.Error())
+		}
+		if pause.For(ctx, submitRetry) != nil {
+			return verdict.Doubt(verdict.CauseClaimFailed, "the log did not say whether it took the record: "+err.Error())
+		}
 	}
-	mayHaveRun := verdict.Of(err).Verdict != verdict.NotRun
-	for _, address := range l.host.directory.members(ctx) {
+}
+
+// append adds a record with the next batch of its partition.
+func (l *logRecorder) append(ctx context.Context, partition keyedlog.Partition, record keyedlog.Record) error {
+	l.mu.Lock()
+	b, running := l.batches[partition]
+	if b == nil {
+		b = &batch{done: make(chan struct{})}
+		l.batches[partition] = b
+	}
+	b.records = append(b.records, record)
+	l.mu.Unlock()
+	if !running {
+		l.host.loops.Go(func() { l.flush(partition, b) })
+	}
+	select {
+	case <-b.done:
+		return b.err
+	case <-ctx.Done():
+		return verdict.Doubt(verdict.CauseDeadline, "the caller's time is over before the log answered")
+	}
+}
+
+// flush appends batches of a partition until none is left.
+func (l *logRecorder) flush(partition keyedlog.Partition, first *batch) {
+	for b := first; b != nil; {
+		l.mu.Lock()
+		// What comes from here on is the next batch; an empty one shows that an append runs.
+		next := &batch{done: make(chan struct{})}
+		l.batches[partition] = next
+		l.mu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+		b.err = l.host.platform.Log.Append(ctx, partition, b.records, nil)
+		cancel()
+		close(b.done)
+		l.mu.Lock()
+		b = next
+		if len(next.records) == 0 {
+			delete(l.batches, partition)
+			b = nil
+		}
+		l.mu.Unlock()
+	}
+}
+
+// relay asks peers to add a record that the log did not take here; doubt means that
+// one of them may have.
+func (l *logRecorder) relay(ctx context.Context, partition keyedlog.Partition, record keyedlog.Record, cause error) (relayed, doubt bool) {
+	peers := l.host.directory.members(ctx)
+	for _, address := range peers[:min(relayPeers, len(peers))] {
 		if ctx.Err() != nil {
-			break
+			return false, doubt
 		}
-		reply, peerErr := l.host.peers.Relay(ctx, address, &wire.RelayRequest{
+		reply, err := l.host.peers.Relay(ctx, address, &wire.RelayRequest{
 			Partition: int32(partition.Number), Key: record.Key, Value: record.Value, //nolint:gosec // Below Partitions.
 		})
 		switch {
-		case peerErr != nil:
-			mayHaveRun = true
+		case err != nil:
+			doubt = true
 		case verdict.Verdict(reply.GetVerdict()) == verdict.Ran:
-			l.host.events.Event("record-relayed", "key", record.Key, "peer", address, "log-error", err)
-			return nil
+			l.host.events.Event("record-relayed", "key", record.Key, "peer", address, "log-error", cause)
+			return true, doubt
 		case verdict.Verdict(reply.GetVerdict()) != verdict.NotRun:
-			mayHaveRun = true
+			doubt = true
 		}
 	}
-	if mayHaveRun {
-		return verdict.Doubt(verdict.CauseClaimFailed, "the log did not say whether it took the record: "+err.Error())
-	}
-	return verdict.Refuse(verdict.CauseNotServing, "the log can't be reached: "+err.Error())
+	return false, doubt
 }
 
 // relayHere appends a record for a peer.
--- a/internal/transport/peer/job_client.go
+++ b/internal/transport/peer/job_client.go
@@ -55,6 +55,11 @@
 	return callJob(ctx, c, address, wire.DRPCJobPeerClient.Cordon, request)
 }
 
+// Gone tells the owner of a pool that a worker has ended.
+func (c *JobClient) Gone(ctx context.Context, address netip.AddrPort, request *wire.GoneRequest) (*wire.GoneReply, error) {
+	return callJob(ctx, c, address, wire.DRPCJobPeerClient.Gone, request)
+}
+
 // Relay asks another entry host to add a record to the log.
 func (c *JobClient) Relay(ctx context.Context, address netip.AddrPort, request *wire.RelayRequest) (*wire.RelayReply, error) {
 	return callJob(ctx, c, address, wire.DRPCJobPeerClient.Relay, request)
