Owners append for callers, and a host without the log is not ready

Cause: with the log slow, eight hosts' appends to one partition stood in line before the owner's own; clients of a cut-off data centre were sent to hosts that can't accept. Change: a submission goes to the partition's owner, which writes it with its own records; readiness follows the contact with the log; peers that are silent are spared.

--- a/internal/jobhost/directory.go
+++ b/internal/jobhost/directory.go
@@ -30,12 +30,32 @@
 
 	mu     sync.Mutex
 	owners map[keyedlog.Partition]string
+	// silent are peers that did not answer, with the time until which they are spared.
+	silent map[netip.AddrPort]time.Time
 	// readAt is when the list was read, triedAt when that was last tried.
 	readAt, triedAt time.Time
 }
 
 func newDirectory(host *JobHost, member string) *directory {
-	return &directory{host: host, member: member, owners: map[keyedlog.Partition]string{}}
+	return &directory{host: host, member: member, owners: map[keyedlog.Partition]string{}, silent: map[netip.AddrPort]time.Time{}}
+}
+
+// silentPause is how long a peer that did not answer is spared.
+const silentPause = time.Second
+
+// unanswered notes that a peer did not answer.
+func (d *directory) unanswered(address netip.AddrPort) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.silent[address] = d.host.now().Add(silentPause)
+	d.readAt = time.Time{}
+}
+
+// unreachable tells whether a peer did not answer lately.
+func (d *directory) unreachable(address netip.AddrPort) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.host.now().Before(d.silent[address])
 }
 
 // addressOf takes the address out of a member's name.
@@ -115,11 +135,14 @@
 		return p.state(ctx, r, id)
 	}
 	address, ok := d.ownerOf(ctx, pool)
-	if !ok {
+	if !ok || d.unreachable(address) {
 		d.failed()
 		return "", false, false
 	}
 	reply, err := d.host.peers.State(ctx, address, &wire.JobStateRequest{Id: string(id), Pool: pool})
+	if err != nil {
+		d.unanswered(address)
+	}
 	if err != nil || !reply.GetOwner() {
 		d.failed()
 		return "", false, false
--- a/internal/jobhost/job_host.go
+++ b/internal/jobhost/job_host.go
@@ -28,6 +28,9 @@
 	TopicFleet = "keyed.fleet"
 	// hostsGather is how long the reports of hosts are gathered; they come all the time.
 	hostsGather = 250 * time.Millisecond
+	// contactTime is how long after the last answer the log counts as reached: two
+	// renewals of the membership.
+	contactTime = 1300 * time.Millisecond
 	// groupName is the group of all entry hosts.
 	groupName = "entry-hosts"
 )
@@ -58,6 +61,7 @@
 	keeper    *owner.Keeper
 	directory *directory
 	intake    *intake.Intake
+	recorder  *logRecorder
 	peers     *peer.JobClient
 	server    *peer.JobServer
 
@@ -91,7 +95,8 @@
 	h.keeper = owner.New(platform.Log, h, events, now, keyedlog.JoinRequest{
 		Group: groupName, Member: member, Topics: []string{TopicJobs, TopicFleet}, TTL: s.GroupTTL,
 	})
-	h.intake = intake.New(newLogRecorder(h), h.directory, events, now)
+	h.recorder = newLogRecorder(h)
+	h.intake = intake.New(h.recorder, h.directory, events, now)
 	h.startLoops(ctx)
 	events.Event("job-host-started", "name", s.Name, "data-centre", s.DataCentre, "member", member, "peer", server.Address())
 	return h, nil
@@ -131,8 +136,22 @@
 	return now.Sub(h.keeper.Confirmed()) < h.settings.Limits.MaxUnconfirmed
 }
 
-// Ready tells whether callers should be sent here.
-func (h *JobHost) Ready() bool { return h.config() != nil && !h.draining.Load() }
+// inContact tells whether the log answers this entry host.
+func (h *JobHost) inContact() bool { return h.now().Sub(h.keeper.Confirmed()) < contactTime }
+
+// Ready tells whether callers should be sent here: without the log no job can be accepted.
+func (h *JobHost) Ready() bool { return h.config() != nil && !h.draining.Load() && h.inContact() }
+
+// held gives a partition that this entry host owns and has loaded, or nil.
+func (h *JobHost) held(id keyedlog.Partition) *partition {
+	h.mu.Lock()
+	p := h.partitions[id]
+	h.mu.Unlock()
+	if p == nil || !p.loaded.Load() || !h.inContact() {
+		return nil
+	}
+	return p
+}
 
 // partitionOf is the partition that has a pool's records.
 func (h *JobHost) partitionOf(pool string) keyedlog.Partition {
--- a/internal/jobhost/log_recorder.go
+++ b/internal/jobhost/log_recorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -61,30 +62,66 @@
 	return err
 }
 
-// add appends a record, with others that come meanwhile, and through peers if the
-// log does not take it. The records are whole and keyed, so that one which is added
-// twice changes nothing: while an answer is missing, the record is added again.
+// add has the partition's owner append a record, with all else that it writes; it
+// appends the record itself if the owner can't, and asks other peers if the log
+// turns this entry host away. The records are whole and keyed, so that one which is
+// added twice changes nothing: while an answer is missing, the record is added again.
 func (l *logRecorder) add(ctx context.Context, pool string, record keyedlog.Record) error {
 	partition := l.host.partitionOf(pool)
 	mayHaveRun := false
 	for {
-		err := l.append(ctx, partition, record)
-		if err == nil {
+		v, message := l.addOnce(ctx, pool, partition, record)
+		if v == verdict.Ran {
 			return nil
 		}
-		mayHaveRun = mayHaveRun || verdict.Of(err).Verdict != verdict.NotRun
-		relayed, doubt := l.relay(ctx, partition, record, err)
-		if relayed {
-			return nil
-		}
-		mayHaveRun = mayHaveRun || doubt
+		mayHaveRun = mayHaveRun || v != verdict.NotRun
 		if !mayHaveRun {
-			return verdict.Refuse(verdict.CauseNotServing, "the log can't be reached: "+err.Error())
+			return verdict.Refuse(verdict.CauseNotServing, "the log can't be reached: "+message)
 		}
 		if pause.For(ctx, submitRetry) != nil {
-			return verdict.Doubt(verdict.CauseClaimFailed, "the log did not say whether it took the record: "+err.Error())
+			return verdict.Doubt(verdict.CauseClaimFailed, "the log did not say whether it took the record: "+message)
+		}
+	}
+}
+
+// addOnce tries each way once; Ran means that the record is in the log.
+func (l *logRecorder) addOnce(ctx context.Context, pool string, partition keyedlog.Partition, record keyedlog.Record) (verdict.Verdict, string) {
+	result, message := verdict.NotRun, "no entry host is in contact with it"
+	note := func(v verdict.Verdict, text string) bool {
+		if v != verdict.NotRun {
+			result = v
+		}
+		message = text
+		return v == verdict.Ran
+	}
+	if p := l.host.held(partition); p != nil {
+		if note(p.recorder.submit(ctx, record)) {
+			return result, message
+		}
+	} else if address, ok := l.host.directory.ownerOf(ctx, pool); ok {
+		if note(l.relay(ctx, address, partition, record)) {
+			return result, message
+		}
+	}
+	if l.host.inContact() {
+		note(verdictOf(l.append(ctx, partition, record)))
+		return result, message
+	}
+	peers := l.host.directory.members(ctx)
+	for _, address := range peers[:min(relayPeers, len(peers))] {
+		if ctx.Err() != nil || note(l.relay(ctx, address, partition, record)) {
+			break
 		}
 	}
+	return result, message
+}
+
+func verdictOf(err error) (verdict.Verdict, string) {
+	if err == nil {
+		return verdict.Ran, ""
+	}
+	e := verdict.Of(err)
+	return e.Verdict, e.Message
 }
 
 // append adds a record with the next batch of its partition.
@@ -130,38 +167,30 @@
 	}
 }
 
-// relay asks peers to add a record that the log did not take here; doubt means that
-// one of them may have.
-func (l *logRecorder) relay(ctx context.Context, partition keyedlog.Partition, record keyedlog.Record, cause error) (relayed, doubt bool) {
-	peers := l.host.directory.members(ctx)
-	for _, address := range peers[:min(relayPeers, len(peers))] {
-		if ctx.Err() != nil {
-			return false, doubt
-		}
-		reply, err := l.host.peers.Relay(ctx, address, &wire.RelayRequest{
-			Partition: int32(partition.Number), Key: record.Key, Value: record.Value, //nolint:gosec // Below Partitions.
-		})
-		switch {
-		case err != nil:
-			doubt = true
-		case verdict.Verdict(reply.GetVerdict()) == verdict.Ran:
-			l.host.events.Event("record-relayed", "key", record.Key, "peer", address, "log-error", cause)
-			return true, doubt
-		case verdict.Verdict(reply.GetVerdict()) != verdict.NotRun:
-			doubt = true
-		}
+// relay asks a peer to add a record.
+func (l *logRecorder) relay(ctx context.Context, address netip.AddrPort, partition keyedlog.Partition, record keyedlog.Record) (verdict.Verdict, string) {
+	if l.host.directory.unreachable(address) {
+		return verdict.NotRun, "peer " + address.String() + " did not answer lately"
 	}
-	return false, doubt
+	reply, err := l.host.peers.Relay(ctx, address, &wire.RelayRequest{
+		Partition: int32(partition.Number), Key: record.Key, Value: record.Value, //nolint:gosec // Below Partitions.
+	})
+	if err != nil {
+		l.host.directory.unanswered(address)
+		return verdict.Of(err).Verdict, err.Error()
+	}
+	return verdict.Verdict(reply.GetVerdict()), reply.GetMessage()
 }
 
-// relayHere appends a record for a peer.
+// relayHere adds a record for a peer.
 func (h *JobHost) relayHere(ctx context.Context, request *wire.RelayRequest) *wire.RelayReply {
 	partition := keyedlog.Partition{Topic: TopicJobs, Number: int(request.GetPartition())}
 	record := keyedlog.Record{Key: request.GetKey(), Value: request.GetValue()}
-	err := h.platform.Log.Append(ctx, partition, []keyedlog.Record{record}, nil)
-	if err != nil {
-		e := verdict.Of(err)
-		return &wire.RelayReply{Verdict: string(e.Verdict), Message: e.Message}
+	v, message := verdict.NotRun, "this entry host is not in contact with the log"
+	if p := h.held(partition); p != nil {
+		v, message = p.recorder.submit(ctx, record)
+	} else if h.inContact() {
+		v, message = verdictOf(h.recorder.append(ctx, partition, record))
 	}
-	return &wire.RelayReply{Verdict: string(verdict.Ran)}
+	return &wire.RelayReply{Verdict: string(v), Message: message}
 }
--- a/internal/jobhost/recorder.go
+++ b/internal/jobhost/recorder.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,6 +30,72 @@
 	wake      chan struct{}
 	dropped   chan []job.ID
 	sequence  int64
+
+	mu sync.Mutex
+	// submitted are the records that callers and peers wait for.
+	submitted []*submittedRecord
+	closed    bool
+}
+
+// submittedRecord is a record to be written with the next append.
+type submittedRecord struct {
+	record keyedlog.Record
+	// sent is set once an append that has it may have been sent.
+	sent bool
+	done chan verdict.Verdict
+}
+
+// submit writes a record with the next append and waits for it.
+func (r *recorder) submit(ctx context.Context, record keyedlog.Record) (verdict.Verdict, string) {
+	s := &submittedRecord{record: record, done: make(chan verdict.Verdict, 1)}
+	r.mu.Lock()
+	if r.closed {
+		r.mu.Unlock()
+		return verdict.NotRun, "the partition's owner has changed"
+	}
+	r.submitted = append(r.submitted, s)
+	r.mu.Unlock()
+	r.signal()
+	select {
+	case v := <-s.done:
+		return v, "the partition's owner has changed"
+	case <-ctx.Done():
+		return r.withdraw(s), "the log did not answer the partition's owner in time"
+	}
+}
+
+// withdraw takes a record back; one that may have been sent may be written.
+func (r *recorder) withdraw(s *submittedRecord) verdict.Verdict {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s.sent {
+		return verdict.MayHaveRun
+	}
+	r.submitted = slices.DeleteFunc(r.submitted, func(other *submittedRecord) bool { return other == s })
+	return verdict.NotRun
+}
+
+// takeSubmitted takes the records that wait, for an append that is sent now.
+func (r *recorder) takeSubmitted() []*submittedRecord {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	taken := r.submitted
+	r.submitted = nil
+	for _, s := range taken {
+		s.sent = true
+	}
+	return taken
+}
+
+// close answers what still waits when the tenure has ended.
+func (r *recorder) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	for _, s := range r.submitted {
+		s.done <- verdict.NotRun
+	}
+	r.submitted = nil
 }
 
 func newRecorder(p *partition) *recorder {
@@ -64,6 +132,7 @@
 
 // run records until ctx ends.
 func (r *recorder) run(ctx context.Context) {
+	defer r.close()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -99,7 +168,12 @@
 			records = append(records, keyedlog.Record{Key: keyProgress + string(id), Value: data})
 		}
 	}
+	submitted := r.takeSubmitted()
+	for _, s := range submitted {
+		records = append(records, s.record)
+	}
 	written := len(records) == 0 || r.append(ctx, records)
+	r.answer(submitted, written)
 	for _, t := range all {
 		if written {
 			t.runner.startAll(ctx, t.runner.pool.Recorded(t.what, r.partition.host.now()))
@@ -113,6 +187,28 @@
 	}
 }
 
+// answer tells callers and peers what became of their records; what is written is
+// taken at once.
+func (r *recorder) answer(submitted []*submittedRecord, written bool) {
+	records := make([]keyedlog.Record, 0, len(submitted))
+	for _, s := range submitted {
+		if !written {
+			// The append may have been done without an answer.
+			s.done <- verdict.MayHaveRun
+			continue
+		}
+		records = append(records, s.record)
+	}
+	if len(records) > 0 {
+		r.partition.take(records)
+	}
+	for _, s := range submitted {
+		if written {
+			s.done <- verdict.Ran
+		}
+	}
+}
+
 // append writes records until they are certainly there; it gives up when the
 // tenure ends.
 func (r *recorder) append(ctx context.Context, records []keyedlog.Record) bool {
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/hornbeammast/hornbeammast/internal/coordination/claim"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/platformapi"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/verdict"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
 )
 
@@ -66,7 +67,7 @@
 	dialer := net.Dialer{Timeout: callTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
-		return nil, errors.Wrapf(err, "connect to peer %s", address)
+		return nil, verdict.Refuse(verdict.CauseUpstreamDial, "connect to peer "+address.String()+": "+err.Error())
 	}
 	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()}), nil
 }
--- a/internal/transport/peer/job_client.go
+++ b/internal/transport/peer/job_client.go
@@ -15,6 +15,9 @@
 // jobCallTimeout bounds a call about jobs; they are answered from memory.
 const jobCallTimeout = 600 * time.Millisecond
 
+// relayTimeout bounds a call that waits for an append of the peer's.
+const relayTimeout = 1300 * time.Millisecond
+
 // JobClient asks other entry hosts about jobs.
 type JobClient struct {
 	pool *drpcpool.Pool[netip.AddrPort, *drpcconn.Conn]
@@ -29,7 +32,11 @@
 func (c *JobClient) Close() { _ = c.pool.Close() }
 
 func callJob[Q, A any](ctx context.Context, c *JobClient, address netip.AddrPort, method func(wire.DRPCJobPeerClient, context.Context, Q) (A, error), request Q) (A, error) {
-	ctx, cancel := context.WithTimeout(ctx, jobCallTimeout)
+	return callJobWithin(ctx, jobCallTimeout, c, address, method, request)
+}
+
+func callJobWithin[Q, A any](ctx context.Context, limit time.Duration, c *JobClient, address netip.AddrPort, method func(wire.DRPCJobPeerClient, context.Context, Q) (A, error), request Q) (A, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	answer, err := method(wire.NewDRPCJobPeerClient(c.pool.Get(ctx, address, dial)), ctx, request)
 	return answer, errors.Wrapf(err, "call entry host %s", address)
@@ -62,7 +69,7 @@
 
 // Relay asks another entry host to add a record to the log.
 func (c *JobClient) Relay(ctx context.Context, address netip.AddrPort, request *wire.RelayRequest) (*wire.RelayReply, error) {
-	return callJob(ctx, c, address, wire.DRPCJobPeerClient.Relay, request)
+	return callJobWithin(ctx, relayTimeout, c, address, wire.DRPCJobPeerClient.Relay, request)
 }
 
 // Configuration asks for a newer configuration.
