Shorter membership, one deal of partitions, and the trend of demand

Cause: after a data centre was cut off its pools had no owner for 4.6 s, since two topics were dealt and a silent member kept its share for 2 s; pools grew only by what was queued already. Change: TTL 1.2 s renewed each 0.3 s; the owner of partition 0 also orders machines; a pool's need counts the rise until a machine that moves now would serve.

--- a/internal/cmd/serve_jobs.go
+++ b/internal/cmd/serve_jobs.go
@@ -32,7 +32,7 @@
 	// change of owner.
 	maxUnconfirmed = 6 * time.Second
 	// groupTTL is how long a silent member keeps its partitions: four renewals.
-	groupTTL = 2 * time.Second
+	groupTTL = 1200 * time.Millisecond
 	// holdWait is how long a worker may wait with its answer; renews a lease well
 	// before its end.
 	holdWait = 1500 * time.Millisecond
--- a/internal/coordination/capacity/plan.go
+++ b/internal/coordination/capacity/plan.go
@@ -30,16 +30,29 @@
 	ordered           bool
 }
 
-// Plan gives the actions to take now.
-func (p *Planner) Plan(view View) []Action {
+// Need is what a plan found for one pool.
+type Need struct {
+	Pool          string
+	Need, Serving int
+	WantedCPU     int64
+}
+
+// Plan gives the actions to take now, and what each pool needs and has.
+func (p *Planner) Plan(view View) ([]Action, []Need) {
 	plans := p.pools(view)
+	var needs []Need
+	for _, plan := range plans {
+		if plan.Load != nil {
+			needs = append(needs, Need{plan.Name, plan.need, plan.serving(), plan.Load.Wanted.CPU})
+		}
+	}
 	var actions []Action
 	actions = append(actions, p.waves(view, plans)...)
 	taken := map[string]bool{}
 	for _, a := range actions {
 		taken[a.Machine] = true
 	}
-	return append(actions, p.moves(view, plans, taken)...)
+	return append(actions, p.moves(view, plans, taken)...), needs
 }
 
 // pools works out what each pool has and needs.
@@ -65,7 +78,7 @@
 		}
 	}
 	for _, plan := range plans {
-		plan.need = p.need(plan)
+		plan.need = p.need(plan, view.Now)
 		slices.SortFunc(plan.machines, compareSurplus)
 	}
 	return plans
@@ -117,7 +130,7 @@
 }
 
 // need is how many hosts a pool's demand asks for.
-func (p *Planner) need(plan *poolPlan) int {
+func (p *Planner) need(plan *poolPlan, now time.Time) int {
 	if plan.Spare || plan.Load == nil || len(plan.machines) == 0 {
 		return 0
 	}
@@ -129,7 +142,7 @@
 	hosts := func(wanted worker.Resources) int {
 		return int(math.Ceil(p.options.Headroom * max(share(wanted.CPU, size.CPU/n), share(wanted.MemoryMB, size.MemoryMB/n))))
 	}
-	need := max(p.options.FloorHosts, hosts(plan.Load.Wanted))
+	need := max(p.options.FloorHosts, hosts(p.expected(plan.Name, plan.Load.Wanted, now)))
 	if plan.Load.SpreadHosts > 0 {
 		// One more, so that a host may fail or leave.
 		need = max(need, plan.Load.SpreadHosts+1, hosts(plan.Load.LongRunning)+1)
--- a/internal/coordination/capacity/view.go
+++ b/internal/coordination/capacity/view.go
@@ -93,11 +93,12 @@
 	options Options
 	// surplusSince is since when a pool has had more hosts than it needs.
 	surplusSince map[string]time.Time
+	trends       map[string]*trend
 }
 
 // NewPlanner makes a planner.
 func NewPlanner(options Options) *Planner {
-	return &Planner{options: options, surplusSince: map[string]time.Time{}}
+	return &Planner{options: options, surplusSince: map[string]time.Time{}, trends: map[string]*trend{}}
 }
 
 // Done tells whether the maintenance of all machines that are still there has begun.
--- a/internal/coordination/owner/keeper.go
+++ b/internal/coordination/owner/keeper.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// Interval is how often the membership is renewed; four fit into the TTL, so that
-	// a lost call or two don't lose the partitions.
-	Interval = 500 * time.Millisecond
+	// Interval is how often the membership is renewed; four fit into the shortest TTL
+	// in use, so that a lost call or two don't lose the partitions.
+	Interval = 300 * time.Millisecond
 	// joinTimeout bounds one call.
 	joinTimeout = 900 * time.Millisecond
 )
--- a/internal/jobhost/fleet_owner.go
+++ b/internal/jobhost/fleet_owner.go
@@ -45,10 +45,12 @@
 	loops   sync.WaitGroup
 	planner *capacity.Planner
 
-	mu       sync.Mutex
-	ordered  map[string]*machineOrder
-	begun    map[int64]map[string]bool
-	waves    map[int64]*waveState
+	mu      sync.Mutex
+	ordered map[string]*machineOrder
+	begun   map[int64]map[string]bool
+	waves   map[int64]*waveState
+	// needs are those of the last plan, for the log.
+	needs    map[string]capacity.Need
 	machines []machine.Machine
 	listedAt time.Time
 	fenced   bool
@@ -71,7 +73,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &fleetOwner{
 		host: h, token: token, began: h.now(), cancel: cancel, planner: capacity.NewPlanner(h.settings.Capacity.Options),
-		ordered: map[string]*machineOrder{}, begun: map[int64]map[string]bool{}, waves: map[int64]*waveState{},
+		ordered: map[string]*machineOrder{}, begun: map[int64]map[string]bool{}, waves: map[int64]*waveState{}, needs: map[string]capacity.Need{},
 	}
 	f.loops.Go(func() { f.run(ctx) })
 	return f
@@ -137,7 +139,7 @@
 }
 
 // confirmSlack is how long before its end a membership is not relied on any more.
-const confirmSlack = 500 * time.Millisecond
+const confirmSlack = 300 * time.Millisecond
 
 func (f *fleetOwner) step(ctx context.Context) {
 	config := f.host.config()
@@ -160,7 +162,9 @@
 		view.Pools = append(view.Pools, capacity.Pool{Name: pool.Name, Spare: pool.Spare, Load: loads[pool.Name]})
 	}
 	f.fill(&view)
-	for _, action := range f.planner.Plan(view) {
+	actions, needs := f.planner.Plan(view)
+	f.noteNeeds(needs)
+	for _, action := range actions {
 		f.act(ctx, action)
 	}
 	f.reportWaves(ctx, view.Waves)
@@ -258,6 +262,16 @@
 	}
 }
 
+// noteNeeds logs what pools need and have when it has changed.
+func (f *fleetOwner) noteNeeds(needs []capacity.Need) {
+	for _, n := range needs {
+		if before, ok := f.needs[n.Pool]; !ok || before.Need != n.Need || before.Serving != n.Serving {
+			f.host.events.Event("pool-need", "pool", n.Pool, "need", n.Need, "serving", n.Serving, "wanted-cpu", n.WantedCPU)
+		}
+		f.needs[n.Pool] = n
+	}
+}
+
 // settled tells whether an order has come to its end, as a list asked for at listed shows.
 func (f *fleetOwner) settled(o *machineOrder, m *machine.Machine, listed time.Time) bool {
 	if m == nil {
@@ -339,7 +353,8 @@
 	f.fenced = f.fenced || fenced
 	f.mu.Unlock()
 	if fenced {
-		f.host.loops.Go(func() { f.host.keeper.Reacquire(f.partition(), f.token) })
+		tenure := keyedlog.Partition{Topic: TopicJobs, Number: fleetPartition}
+		f.host.loops.Go(func() { f.host.keeper.Reacquire(tenure, f.token) })
 	}
 }
 
--- a/internal/jobhost/job_host.go
+++ b/internal/jobhost/job_host.go
@@ -24,8 +24,10 @@
 	// TopicJobs has the records of jobs, partitioned by pool. Topics whose name
 	// begins with the prefix keep the newest record of each key.
 	TopicJobs = "keyed.jobs"
-	// TopicFleet is dealt for its first partition: its owner moves and maintains machines.
+	// TopicFleet has what the owner of machines keeps for later ones.
 	TopicFleet = "keyed.fleet"
+	// fleetPartition is the partition of jobs whose owner also moves and maintains machines.
+	fleetPartition = 0
 	// hostsGather is how long the reports of hosts are gathered; they come all the time.
 	hostsGather = 250 * time.Millisecond
 	// contactTime is how long after the last answer the log counts as reached: two
@@ -93,7 +95,7 @@
 	member := memberName(s.Name, server.Address(), now())
 	h.directory = newDirectory(h, member)
 	h.keeper = owner.New(platform.Log, h, events, now, keyedlog.JoinRequest{
-		Group: groupName, Member: member, Topics: []string{TopicJobs, TopicFleet}, TTL: s.GroupTTL,
+		Group: groupName, Member: member, Topics: []string{TopicJobs}, TTL: s.GroupTTL,
 	})
 	h.recorder = newLogRecorder(h)
 	h.intake = intake.New(h.recorder, h.directory, events, now)
@@ -163,10 +165,8 @@
 func (h *JobHost) Acquire(id keyedlog.Partition, token int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	switch {
-	case id.Topic == TopicJobs:
-		h.partitions[id] = startPartition(h, id, token)
-	case id.Topic == TopicFleet && id.Number == 0:
+	h.partitions[id] = startPartition(h, id, token)
+	if id.Number == fleetPartition {
 		h.fleet = startFleetOwner(h, token)
 	}
 }
@@ -177,7 +177,7 @@
 	p := h.partitions[id]
 	delete(h.partitions, id)
 	var fleet *fleetOwner
-	if id.Topic == TopicFleet && id.Number == 0 {
+	if id.Number == fleetPartition {
 		fleet, h.fleet = h.fleet, nil
 	}
 	h.mu.Unlock()
