A tenure over machines is handed on with what was ordered last

Change: an owner that gives up says so and names the machines of its last orders; its successor waits for those only.

--- a/internal/coordination/capacity/view.go
+++ b/internal/coordination/capacity/view.go
@@ -55,9 +55,11 @@
 	Lift
 	Move
 	Maintain
+	// Barred is no action: the machine was ordered by an earlier owner.
+	Barred
 )
 
-var kindNames = map[Kind]string{Cordon: "cordon", Lift: "lift", Move: "move", Maintain: "maintain"}
+var kindNames = map[Kind]string{Cordon: "cordon", Lift: "lift", Move: "move", Maintain: "maintain", Barred: "barred"}
 
 // String gives the name for logs.
 func (k Kind) String() string { return kindNames[k] }
--- a/internal/coordination/owner/keeper.go
+++ b/internal/coordination/owner/keeper.go
@@ -49,7 +49,9 @@
 
 	mu sync.Mutex
 	// confirmed is when the last call that succeeded was sent.
-	confirmed  time.Time
+	confirmed time.Time
+	// took is how long that call took.
+	took       time.Duration
 	generation int64
 	held       []keyedlog.Partition
 	stopped    bool
@@ -67,6 +69,13 @@
 	return k.confirmed
 }
 
+// Latency is how long the log took for the last renewal.
+func (k *Keeper) Latency() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.took
+}
+
 // Run keeps the membership until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	healthy := true
@@ -105,7 +114,7 @@
 	// the partitions; an unchanged generation shows that none has.
 	gap := sent.Sub(k.confirmed) >= k.request.TTL && m.Generation != k.generation
 	before := k.held
-	k.held, k.generation, k.confirmed = m.Partitions, m.Generation, sent
+	k.held, k.generation, k.confirmed, k.took = m.Partitions, m.Generation, sent, k.now().Sub(sent)
 	k.mu.Unlock()
 	return k.apply(before, m, gap), nil
 }
--- a/internal/jobhost/fleet_owner.go
+++ b/internal/jobhost/fleet_owner.go
@@ -54,6 +54,14 @@
 	machines []machine.Machine
 	listedAt time.Time
 	fenced   bool
+	// recent is when machines were last ordered by this owner.
+	recent map[string]time.Time
+	// barred are machines that an earlier owner may have ordered, with the time from
+	// which they may be ordered here; allFrom is that of all others.
+	barred  map[string]time.Time
+	allFrom time.Time
+	// sequence counts the appends of the tenure's own record.
+	sequence int64
 }
 
 // machineOrder is an order under way.
@@ -74,14 +82,20 @@
 	f := &fleetOwner{
 		host: h, token: token, began: h.now(), cancel: cancel, planner: capacity.NewPlanner(h.settings.Capacity.Options),
 		ordered: map[string]*machineOrder{}, begun: map[int64]map[string]bool{}, waves: map[int64]*waveState{}, needs: map[string]capacity.Need{},
+		recent: map[string]time.Time{}, barred: map[string]time.Time{},
 	}
+	f.allFrom = f.began.Add(h.settings.Capacity.HolderLease)
 	f.loops.Go(func() { f.run(ctx) })
 	return f
 }
 
+// stop ends the tenure, and tells the next owner which machines were ordered last.
 func (f *fleetOwner) stop() {
 	f.cancel()
 	f.loops.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	f.writeTenure(ctx, true)
 }
 
 func (f *fleetOwner) partition() keyedlog.Partition { return keyedlog.Partition{Topic: TopicFleet} }
@@ -105,6 +119,10 @@
 		return false
 	}
 	for _, record := range batch.Records {
+		if record.Key == keyTenure {
+			f.succeed(record)
+			continue
+		}
 		number, name, ok := strings.Cut(strings.TrimPrefix(record.Key, keyWave), "/")
 		wave, err := strconv.ParseInt(number, 10, 64)
 		if !ok || err != nil {
@@ -113,8 +131,9 @@
 		}
 		f.markBegun(wave, name)
 	}
-	f.host.events.Event("fleet-loaded", "token", f.token, "keys", len(batch.Records))
-	return true
+	f.host.events.Event("fleet-loaded", "token", f.token, "keys", len(batch.Records), "barred", len(f.barred),
+		"orders-from", f.allFrom.Sub(f.began))
+	return f.writeTenure(ctx, false)
 }
 
 func (f *fleetOwner) markBegun(wave int64, name string) {
@@ -129,7 +148,7 @@
 // mayOrder tells whether nobody else can hold the machines: the membership was
 // confirmed within its TTL, and an earlier owner's orders have been waited out.
 func (f *fleetOwner) mayOrder(now time.Time) bool {
-	return f.confirmed(now) && now.Sub(f.began) >= f.host.settings.Capacity.HolderLease
+	return f.confirmed(now) && !now.Before(f.allFrom)
 }
 
 func (f *fleetOwner) confirmed(now time.Time) bool {
@@ -199,6 +218,11 @@
 	defer f.mu.Unlock()
 	view.Machines, view.ListedAt = f.machines, f.listedAt
 	view.Ordered = make(map[string]capacity.Order, len(f.ordered))
+	for name, from := range f.barred {
+		if view.Now.Before(from) {
+			view.Ordered[name] = capacity.Order{Action: capacity.Action{Kind: capacity.Barred, Machine: name}, SentAt: f.began}
+		}
+	}
 	for name, o := range f.ordered {
 		view.Ordered[name] = capacity.Order{Action: o.action, SentAt: o.sentAt}
 	}
@@ -303,6 +327,7 @@
 	o := &machineOrder{action: a, sentAt: f.host.now()}
 	f.mu.Lock()
 	f.ordered[a.Machine] = o
+	f.recent[a.Machine] = o.sentAt
 	f.mu.Unlock()
 	f.loops.Go(func() { f.order(ctx, o) })
 }
--- a/internal/jobhost/log_recorder.go
+++ b/internal/jobhost/log_recorder.go
@@ -31,9 +31,15 @@
 
 const (
 	// submitTimeout bounds an append for callers.
-	submitTimeout = 1200 * time.Millisecond
+	submitTimeout = 2500 * time.Millisecond
 	// submitRetry is the pause before an append is tried again.
 	submitRetry = 100 * time.Millisecond
+	// submitPatience is how long a record is tried that nobody has taken yet; a new
+	// owner is there within it.
+	submitPatience = time.Second
+	// slowLog is the latency from which on only owners append: others would stand in
+	// line before them.
+	slowLog = 40 * time.Millisecond
 	// relayPeers is how many peers are asked when the log turns this entry host away.
 	relayPeers = 2
 )
@@ -69,16 +75,20 @@
 func (l *logRecorder) add(ctx context.Context, pool string, record keyedlog.Record) error {
 	partition := l.host.partitionOf(pool)
 	mayHaveRun := false
+	began := l.host.now()
 	for {
 		v, message := l.addOnce(ctx, pool, partition, record)
 		if v == verdict.Ran {
 			return nil
 		}
 		mayHaveRun = mayHaveRun || v != verdict.NotRun
-		if !mayHaveRun {
+		if !mayHaveRun && l.host.now().Sub(began) > submitPatience {
 			return verdict.Refuse(verdict.CauseNotServing, "the log can't be reached: "+message)
 		}
 		if pause.For(ctx, submitRetry) != nil {
+			if !mayHaveRun {
+				return verdict.Refuse(verdict.CauseDeadline, "the log could not be reached in time: "+message)
+			}
 			return verdict.Doubt(verdict.CauseClaimFailed, "the log did not say whether it took the record: "+message)
 		}
 	}
@@ -103,6 +113,9 @@
 			return result, message
 		}
 	}
+	if l.host.inContact() && l.host.keeper.Latency() > slowLog {
+		return result, "the log is slow, and the partition's owner does not answer"
+	}
 	if l.host.inContact() {
 		note(verdictOf(l.append(ctx, partition, record)))
 		return result, message
