An emulated platform on which real entry hosts run

Store with epochs and groups, workers with leases on their own clocks, machines, callers, and a ledger that checks the promises from what they saw.

--- /dev/null
+++ b/internal/emulator/site/network.go
@@ -0,0 +1,90 @@
+package site
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// network connects entry hosts by pipes in memory, which can be cut.
+type network struct {
+	site *Site
+
+	mu        sync.Mutex
+	listeners map[netip.AddrPort]*pipeListener
+}
+
+type pipeListener struct {
+	network *network
+	address netip.AddrPort
+	conns   chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+// hostNetwork is the network as one entry host sees it.
+type hostNetwork struct {
+	network *network
+	host    *EntryHost
+}
+
+// Listen takes connections at an address.
+func (n hostNetwork) Listen(address netip.AddrPort) (net.Listener, error) {
+	l := &pipeListener{network: n.network, address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
+	n.network.mu.Lock()
+	defer n.network.mu.Unlock()
+	n.network.listeners[address] = l
+	return l, nil
+}
+
+// Dial connects to an address; across a cut it waits as long as it may.
+func (n hostNetwork) Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	n.network.mu.Lock()
+	l, ok := n.network.listeners[address]
+	n.network.mu.Unlock()
+	if !ok {
+		return nil, errors.Newf("nobody listens on %s", address)
+	}
+	if !n.network.site.peersConnected(n.host, address) {
+		<-ctx.Done()
+		return nil, errors.Wrap(ctx.Err(), "connect across a cut")
+	}
+	here, there := net.Pipe()
+	select {
+	case l.conns <- there:
+		return here, nil
+	case <-l.closed:
+		return nil, errors.Newf("nobody listens on %s", address)
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "connect")
+	}
+}
+
+// Accept gives the next connection.
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close ends the listener.
+func (l *pipeListener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.network.mu.Lock()
+		defer l.network.mu.Unlock()
+		if l.network.listeners[l.address] == l {
+			delete(l.network.listeners, l.address)
+		}
+	})
+	return nil
+}
+
+// Addr is where the listener listens.
+func (l *pipeListener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.address) }
--- /dev/null
+++ b/internal/emulator/site/published.go
@@ -0,0 +1,50 @@
+package site
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/machine"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/queue"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
+)
+
+const (
+	keyConfig = "config"
+	keyWave   = "wave/"
+)
+
+// published reads and writes the emulated platform's topics.
+type published struct{}
+
+func (published) Operators() keyedlog.Partition { return keyedlog.Partition{Topic: "operators"} }
+func (published) Hosts() keyedlog.Partition     { return keyedlog.Partition{Topic: "hosts"} }
+func (published) Status() keyedlog.Partition    { return keyedlog.Partition{Topic: "status"} }
+
+func (published) Configuration(r keyedlog.Record) (*queue.Configuration, error) {
+	if r.Key != keyConfig {
+		return nil, nil //nolint:nilnil // Nothing of this kind is no error.
+	}
+	c := &queue.Configuration{}
+	return c, json.Unmarshal(r.Value, c)
+}
+
+func (published) Wave(r keyedlog.Record) (*machine.Wave, error) {
+	if !strings.HasPrefix(r.Key, keyWave) {
+		return nil, nil //nolint:nilnil // Nothing of this kind is no error.
+	}
+	w := &machine.Wave{}
+	return w, json.Unmarshal(r.Value, w)
+}
+
+func (published) Report(r keyedlog.Record) (worker.Report, error) {
+	var report worker.Report
+	err := json.Unmarshal(r.Value, &report)
+	return report, err
+}
+
+func (published) WaveStatus(number int64, done bool) (keyedlog.Record, error) {
+	return keyedlog.Record{Key: keyWave + strconv.FormatInt(number, 10), Value: strconv.AppendBool(nil, done)}, nil
+}
--- /dev/null
+++ b/internal/emulator/site/site.go
@@ -0,0 +1,298 @@
+// Package site is a small platform in memory: a log store, workers with leases on
+// their own clocks, machines that move and go down, and a network that can be cut.
+// Real entry hosts run on it, in virtual time where a test asks for that.
+package site
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/hornbeammast/hornbeammast/internal/coordination/capacity"
+	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
+	"github.com/hornbeammast/hornbeammast/internal/jobhost"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/machine"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/queue"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
+)
+
+// SparePool has the machines that are off.
+const SparePool = "spare"
+
+const (
+	// partitions is how many partitions a topic has.
+	partitions = 8
+	// maxLease is the longest lease that a worker grants.
+	maxLease = 10 * time.Second
+	// groupTTL is how long a silent entry host keeps its partitions.
+	groupTTL = 1200 * time.Millisecond
+	// cores and memoryMB are the size of a machine.
+	cores, memoryMB = 16, 65536
+)
+
+// Events takes one line for each decision of the entry hosts.
+type Events interface {
+	Event(name string, pairs ...any)
+}
+
+// Site is one emulated platform with its entry hosts.
+type Site struct {
+	ledger   *Ledger
+	store    *Store
+	network  *network
+	events   func(host string) Events
+	maxLease time.Duration
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	closed   bool
+	workers  map[worker.ID]*Worker
+	machines map[string]*simMachine
+	waves    map[int64]machine.Wave
+	hosts    map[string]*EntryHost
+	troubles map[string]Trouble
+	late     float64
+	// cut are the data centres that are partitioned from the others.
+	cut map[string]bool
+}
+
+// EntryHost is one entry host and its place.
+type EntryHost struct {
+	*jobhost.JobHost
+	Name       string
+	DataCentre string
+	address    netip.AddrPort
+}
+
+// Layout is the size of a site.
+type Layout struct {
+	DataCentres []string
+	// EntryHosts and Machines are how many each data centre has; a part of the
+	// machines is in each pool, and Spares are off.
+	EntryHosts, Machines, Spares int
+	Pools                        []string
+}
+
+// New makes a site whose luck comes from a seed.
+func New(layout Layout, seed uint64, events func(host string) Events) *Site {
+	s := &Site{
+		ledger: newLedger(), events: events, maxLease: maxLease, rng: rand.New(rand.NewPCG(seed, 1)), //nolint:gosec // Not for secrets.
+		workers: map[worker.ID]*Worker{}, machines: map[string]*simMachine{}, waves: map[int64]machine.Wave{},
+		hosts: map[string]*EntryHost{}, troubles: map[string]Trouble{}, cut: map[string]bool{},
+	}
+	s.store = newStore(partitions, s.random)
+	s.network = &network{site: s, listeners: map[netip.AddrPort]*pipeListener{}}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for d, dataCentre := range layout.DataCentres {
+		for n := range layout.Machines + layout.Spares {
+			pool := SparePool
+			if n < layout.Machines {
+				pool = layout.Pools[n%len(layout.Pools)]
+			}
+			m := &simMachine{
+				name: fmt.Sprintf("m-%s-%02d", dataCentre, n), pool: pool, dataCentre: dataCentre, rack: fmt.Sprintf("r%d-%d", d, n/4),
+				capacity: worker.Resources{CPU: cores * 1000, MemoryMB: memoryMB}, maintained: map[int64]bool{},
+			}
+			s.machines[m.name] = m
+			s.bringUp(m)
+		}
+	}
+	return s
+}
+
+// Ledger has what was seen.
+func (s *Site) Ledger() *Ledger { return s.ledger }
+
+func (s *Site) random() float64 {
+	// The generator is shared by goroutines that hold other locks.
+	randomLock.Lock()
+	defer randomLock.Unlock()
+	return s.rng.Float64()
+}
+
+var randomLock sync.Mutex
+
+func (s *Site) chance(share float64) bool { return share > 0 && s.random() < share }
+
+func (s *Site) lateOrders() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.late
+}
+
+func (s *Site) trouble(host string) Trouble {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t, ok := s.troubles[host]; ok {
+		return t
+	}
+	if h := s.hosts[host]; h != nil && s.cut[h.DataCentre] {
+		return Trouble{Silent: true}
+	}
+	return s.troubles[""]
+}
+
+func (s *Site) worker(id worker.ID) *Worker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.workers[id]
+}
+
+// connected tells whether an entry host reaches a worker.
+func (s *Site) connected(h *EntryHost, w *Worker) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, there := s.hosts[h.Name]
+	return there && !w.dark && (h.DataCentre == w.dataCentre || (!s.cut[h.DataCentre] && !s.cut[w.dataCentre]))
+}
+
+// peersConnected tells whether an entry host reaches another.
+func (s *Site) peersConnected(h *EntryHost, address netip.AddrPort) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, other := range s.hosts {
+		if other.address == address {
+			return h.DataCentre == other.DataCentre || (!s.cut[h.DataCentre] && !s.cut[other.DataCentre])
+		}
+	}
+	return false
+}
+
+// list writes a worker's entry; the site's lock is held.
+func (s *Site) list(w *Worker) {
+	data, err := json.Marshal(w.report())
+	if err != nil {
+		panic(err) // A report is plain data.
+	}
+	s.store.put(published{}.Hosts(), keyedlog.Record{Key: string(w.id), Value: data})
+}
+
+func (s *Site) unlist(id worker.ID) {
+	s.store.put(published{}.Hosts(), keyedlog.Record{Key: string(id)})
+}
+
+// Configure publishes a configuration.
+func (s *Site) Configure(c *queue.Configuration) error {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	s.store.put(published{}.Operators(), keyedlog.Record{Key: keyConfig, Value: data})
+	return nil
+}
+
+// Publish publishes a wave of maintenance.
+func (s *Site) Publish(w machine.Wave) error {
+	data, err := json.Marshal(w)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.waves[w.Number] = w
+	s.mu.Unlock()
+	s.store.put(published{}.Operators(), keyedlog.Record{Key: keyWave + strconv.FormatInt(w.Number, 10), Value: data})
+	return nil
+}
+
+// Machines lists the names of the machines.
+func (s *Site) Machines() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for name := range s.machines {
+		names = append(names, name)
+	}
+	return names
+}
+
+// StartHost starts an entry host.
+func (s *Site) StartHost(name, dataCentre string, number int) (*EntryHost, error) {
+	h := &EntryHost{Name: name, DataCentre: dataCentre, address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number)}), 7000)}
+	s.mu.Lock()
+	s.hosts[name] = h
+	s.mu.Unlock()
+	settings := jobhost.Settings{
+		Name: name, DataCentre: dataCentre, PeerAddress: h.address, Partitions: partitions, GroupTTL: groupTTL,
+		Limits: schedule.Limits{
+			Lease: 5 * time.Second, MaxLease: maxLease, MaxUnconfirmed: 6 * time.Second, HoldWait: 1500 * time.Millisecond,
+			CheckpointEvery: checkpointEvery, FarFactor: 2, NoticeTime: 4500 * time.Millisecond, HarmTime: 4 * time.Second,
+			KeepEnded: 2 * time.Minute,
+		},
+		Capacity: jobhost.Capacity{
+			HolderLease: holderLease,
+			Options: capacity.Options{
+				Headroom: 1.15, FloorHosts: 2, ShrinkAfter: 1500 * time.Millisecond, WaveShare: 0.45,
+				MoveTime: moveTime, MaintenanceTime: maintenanceTime,
+			},
+		},
+	}
+	platform := jobhost.Platform{
+		Log:     &storeAccess{store: s.store, host: name, trouble: s.trouble},
+		Workers: &workerAccess{s, h}, Machines: &machineAccess{s, h}, Published: published{},
+	}
+	var err error
+	h.JobHost, err = jobhost.Start(settings, platform, s.events(name), time.Now, jobhost.WithNetwork(hostNetwork{s.network, h}))
+	return h, err
+}
+
+// KillHost ends an entry host as a crash would: nothing that it sends arrives any more.
+func (s *Site) KillHost(h *EntryHost) {
+	s.mu.Lock()
+	delete(s.hosts, h.Name)
+	s.troubles[h.Name] = Trouble{Refuses: true}
+	s.mu.Unlock()
+	h.Close()
+	s.mu.Lock()
+	delete(s.troubles, h.Name)
+	s.mu.Unlock()
+}
+
+// SetTrouble sets what an entry host meets at the store; an empty name is for all.
+func (s *Site) SetTrouble(host string, t Trouble) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t == (Trouble{}) {
+		delete(s.troubles, host)
+		return
+	}
+	s.troubles[host] = t
+}
+
+// Cut partitions a data centre from the others and the platform, or ends that.
+func (s *Site) Cut(dataCentre string, cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut[dataCentre] = cut
+}
+
+// LoseOrders makes a share of the orders to workers be carried out late, without an answer.
+func (s *Site) LoseOrders(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.late = share
+}
+
+// Close ends everything.
+func (s *Site) Close() {
+	s.mu.Lock()
+	s.closed = true
+	hosts := make([]*EntryHost, 0, len(s.hosts))
+	for _, h := range s.hosts {
+		hosts = append(hosts, h)
+	}
+	s.mu.Unlock()
+	for _, h := range hosts {
+		h.Close()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range s.workers {
+		w.kill()
+	}
+}
--- a/internal/jobhost/job_host.go
+++ b/internal/jobhost/job_host.go
@@ -64,6 +64,7 @@
 	directory *directory
 	intake    *intake.Intake
 	recorder  *logRecorder
+	network   peer.Network
 	peers     *peer.JobClient
 	server    *peer.JobServer
 
@@ -76,20 +77,29 @@
 	fleet      *fleetOwner
 }
 
-// Start starts a job host on a platform.
-func Start(s Settings, platform Platform, events Events, now func() time.Time) (*JobHost, error) {
+// Option changes how a job host is started.
+type Option func(*JobHost)
+
+// WithNetwork connects the job host to its peers by another network than TCP.
+func WithNetwork(network peer.Network) Option { return func(h *JobHost) { h.network = network } }
+
+// Start starts a job host on a platform; now must go on while the machine is suspended.
+func Start(s Settings, platform Platform, events Events, now func() time.Time, opts ...Option) (*JobHost, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &JobHost{
 		settings: s, platform: platform, events: events, now: now, metrics: newMetrics(), cancel: cancel,
-		partitions: map[keyedlog.Partition]*partition{},
+		partitions: map[keyedlog.Partition]*partition{}, network: peer.TCP{},
+	}
+	for _, apply := range opts {
+		apply(h)
 	}
-	server, err := peer.ListenJobs(s.PeerAddress, peerAnswers{h})
+	server, err := peer.ListenJobs(h.network, s.PeerAddress, peerAnswers{h})
 	if err != nil {
 		cancel()
 		return nil, err
 	}
 	h.server = server
-	h.peers = peer.NewJobClient()
+	h.peers = peer.NewJobClient(h.network)
 	h.operators = &operatorsView{published: platform.Published, events: events, changed: h.refresh, waves: map[int64]machine.Wave{}}
 	h.hosts = &hostsView{published: platform.Published, events: events, changed: h.refresh, hosts: map[worker.ID]worker.Report{}}
 	member := memberName(s.Name, server.Address(), now())
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"time"
 
@@ -15,7 +14,6 @@
 
 	"github.com/hornbeammast/hornbeammast/internal/coordination/claim"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/platformapi"
-	"github.com/hornbeammast/hornbeammast/internal/protocol/verdict"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
 )
 
@@ -64,10 +62,9 @@
 }
 
 func dial(ctx context.Context, address netip.AddrPort) (*drpcconn.Conn, error) {
-	dialer := net.Dialer{Timeout: callTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", address.String())
+	raw, err := TCP{}.Dial(ctx, address)
 	if err != nil {
-		return nil, verdict.Refuse(verdict.CauseUpstreamDial, "connect to peer "+address.String()+": "+err.Error())
+		return nil, errors.Wrapf(err, "connect to peer %s", address)
 	}
 	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()}), nil
 }
--- a/internal/transport/peer/job_client.go
+++ b/internal/transport/peer/job_client.go
@@ -9,6 +9,7 @@
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
 
+	"github.com/hornbeammast/hornbeammast/internal/protocol/verdict"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
 )
 
@@ -20,12 +21,24 @@
 
 // JobClient asks other entry hosts about jobs.
 type JobClient struct {
-	pool *drpcpool.Pool[netip.AddrPort, *drpcconn.Conn]
+	network Network
+	pool    *drpcpool.Pool[netip.AddrPort, *drpcconn.Conn]
 }
 
-// NewJobClient makes a client.
-func NewJobClient() *JobClient {
-	return &JobClient{drpcpool.New[netip.AddrPort, *drpcconn.Conn](drpcpool.Options{Expiration: idleTime, KeyCapacity: maxPerPeer})}
+// NewJobClient makes a client on a network.
+func NewJobClient(network Network) *JobClient {
+	return &JobClient{
+		network: network,
+		pool:    drpcpool.New[netip.AddrPort, *drpcconn.Conn](drpcpool.Options{Expiration: idleTime, KeyCapacity: maxPerPeer}),
+	}
+}
+
+func (c *JobClient) dial(ctx context.Context, address netip.AddrPort) (*drpcconn.Conn, error) {
+	raw, err := c.network.Dial(ctx, address)
+	if err != nil {
+		return nil, verdict.Refuse(verdict.CauseUpstreamDial, "connect to peer "+address.String()+": "+err.Error())
+	}
+	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()}), nil
 }
 
 // Close ends all connections.
@@ -38,7 +51,7 @@
 func callJobWithin[Q, A any](ctx context.Context, limit time.Duration, c *JobClient, address netip.AddrPort, method func(wire.DRPCJobPeerClient, context.Context, Q) (A, error), request Q) (A, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	answer, err := method(wire.NewDRPCJobPeerClient(c.pool.Get(ctx, address, dial)), ctx, request)
+	answer, err := method(wire.NewDRPCJobPeerClient(c.pool.Get(ctx, address, c.dial)), ctx, request)
 	return answer, errors.Wrapf(err, "call entry host %s", address)
 }
 
--- a/internal/transport/peer/job_server.go
+++ b/internal/transport/peer/job_server.go
@@ -12,13 +12,13 @@
 // JobServer answers other entry hosts about jobs.
 type JobServer struct{ *Server }
 
-// ListenJobs starts to answer at an address.
-func ListenJobs(address netip.AddrPort, handler wire.DRPCJobPeerServer) (*JobServer, error) {
+// ListenJobs starts to answer at an address of a network.
+func ListenJobs(network Network, address netip.AddrPort, handler wire.DRPCJobPeerServer) (*JobServer, error) {
 	mux := drpcmux.New()
 	if err := wire.DRPCRegisterJobPeer(mux, handler); err != nil {
 		return nil, errors.Wrap(err, "register the job peer service")
 	}
-	server, err := listen(address, mux)
+	server, err := listen(network, address, mux)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -44,11 +44,11 @@
 	if err := wire.DRPCRegisterPeer(mux, service{handler}); err != nil {
 		return nil, errors.Wrap(err, "register the peer service")
 	}
-	return listen(address, mux)
+	return listen(TCP{}, address, mux)
 }
 
-func listen(address netip.AddrPort, mux *drpcmux.Mux) (*Server, error) {
-	listener, err := net.Listen("tcp", address.String())
+func listen(network Network, address netip.AddrPort, mux *drpcmux.Mux) (*Server, error) {
+	listener, err := network.Listen(address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for peers on %s", address)
 	}
