--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -137,6 +137,9 @@
 			r.task.checkpoint = row.Checkpoint
 		}
 		r.percent = row.Percent
+		if r.state == stopping && !r.stopAckedAt.IsZero() && now.Sub(r.stopAckedAt) > stopPatience {
+			r.stopAckedAt = time.Time{}
+		}
 		r.observe(row.Gauge, now)
 	}
 }
--- a/internal/coordination/schedule/limits.go
+++ b/internal/coordination/schedule/limits.go
@@ -43,6 +43,8 @@
 	unsurePatience = 100 * time.Millisecond
 	// stopRetry is the time after which a stop without an effect is sent again.
 	stopRetry = 700 * time.Millisecond
+	// stopPatience is how long after its answer a stop may take; then it is sent again.
+	stopPatience = 2 * time.Second
 	// maxStartsPerHost bounds the starts in flight to one host; more only queue there.
 	maxStartsPerHost = 8
 	// runsPerFence is the room for run numbers of one fencing token, in bits.
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -86,21 +86,32 @@
 			case r.state == unsure && now.Sub(r.onAt) > unsurePatience:
 				p.stop(r, "unanswered")
 			case p.hangs(r, now):
-				h.health.suspect(now)
-				r.task.avoid = h.report.ID
-				p.stop(r, "hangs")
+				p.giveUpOn(r, now)
 			}
 		}
 	}
 }
 
+// giveUpOn stops a run that hangs, and suspects its host; of a gang nobody can tell
+// whose host it is.
+func (p *Pool) giveUpOn(r *run, now time.Time) {
+	if r.task.step.def.Gang {
+		p.stopGang(r.task.step, "hangs")
+		return
+	}
+	r.host.health.suspect(now)
+	r.task.avoid = r.host.report.ID
+	p.stop(r, "hangs")
+}
+
 // hangs tells whether a run stands still, or lasts far longer than declared.
 func (p *Pool) hangs(r *run, now time.Time) bool {
 	def := r.task.step.def
-	if r.state != on || def.LongRunning || def.BestEffort || def.Gang || r.percent < fullSpeed {
+	if r.state != on || def.LongRunning || def.BestEffort || r.percent < fullSpeed {
 		return false
 	}
-	if !r.stillSince.IsZero() && now.Sub(r.stillSince) > stillTime {
+	// A gang's members stand still while they wait for each other.
+	if !def.Gang && !r.stillSince.IsZero() && now.Sub(r.stillSince) > stillTime {
 		return true
 	}
 	longest := max(hangFloor, hangFactor*p.learned.of(r.task.step.entry.Queue, def.Estimate))
@@ -166,7 +177,7 @@
 	for id, h := range p.hosts {
 		target := worker.Target{ID: id, Address: h.report.Address}
 		for _, r := range h.runs {
-			if r.state != stopping || r.unsent || now.Sub(r.stopSentAt) < stopRetry {
+			if r.state != stopping || r.unsent || !r.stopAckedAt.IsZero() || now.Sub(r.stopSentAt) < stopRetry {
 				continue
 			}
 			p.events.Event("run-stop", "task", r.name, "run", r.number, "host", id, "reason", r.stopReason)
@@ -192,7 +203,8 @@
 	if !ok || err != nil {
 		return
 	}
-	if r, ok := h.runs[runKey{order.Task, order.Run}]; ok {
+	// The first answer counts: a list that is asked for after it shows the effect.
+	if r, ok := h.runs[runKey{order.Task, order.Run}]; ok && r.stopAckedAt.IsZero() {
 		r.stopAckedAt = now
 	}
 }
--- a/internal/emulator/site/callers.go
+++ b/internal/emulator/site/callers.go
@@ -44,8 +44,8 @@
 
 // Submit hands a job in, with what its tasks really are, and tries again as callers do.
 func (s *Site) Submit(queueName string, j *job.Job, truth []taskTruth) bool {
-	s.ledger.submit(j, truth)
 	refused := true
+	submitted := false
 	for range callerTries {
 		h := s.anyHost()
 		if h == nil {
@@ -54,19 +54,23 @@
 		}
 		c := h.Configuration()
 		q := queueNamed(c, queueName)
+		if !submitted {
+			j.Pool, j.MaxAttempts = q.Pool, q.MaxAttempts
+			s.ledger.submit(j, truth)
+			submitted = true
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), callerWait)
 		sent := *j
 		err := h.Intake().Submit(ctx, c.Version, q, &sent)
 		cancel()
 		if err == nil {
-			j.Pool, j.MaxAttempts = q.Pool, q.MaxAttempts
 			s.ledger.accepted(j.ID)
 			return true
 		}
 		refused = refused && verdict.Of(err).Verdict == verdict.NotRun
 		time.Sleep(200 * time.Millisecond)
 	}
-	if refused {
+	if submitted && refused {
 		s.ledger.refusedAll(j.ID)
 	}
 	return false
@@ -79,13 +83,16 @@
 
 // Cancel cancels a job until that is acknowledged.
 func (s *Site) Cancel(queueName string, id job.ID) {
+	s.ledger.cancelAsked(id)
 	for range callerTries {
 		if h := s.anyHost(); h != nil {
 			ctx, cancel := context.WithTimeout(context.Background(), callerWait)
-			_, err := h.Intake().Cancel(ctx, h.Configuration(), queueNamed(h.Configuration(), queueName), id)
+			known, err := h.Intake().Cancel(ctx, h.Configuration(), queueNamed(h.Configuration(), queueName), id)
 			cancel()
 			if err == nil {
-				s.ledger.cancel(id)
+				if known {
+					s.ledger.cancel(id)
+				}
 				return
 			}
 		}
--- a/internal/emulator/site/ledger.go
+++ b/internal/emulator/site/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -12,11 +13,13 @@
 // Ledger notes what workers, callers and the service of machines saw, and what of
 // it breaks a promise.
 type Ledger struct {
-	mu     sync.Mutex
-	jobs   map[job.ID]*submitted
-	tasks  map[worker.TaskName]*taskHistory
-	orders map[string]machineOrder
-	broke  []string
+	mu   sync.Mutex
+	jobs map[job.ID]*submitted
+	// cancels are the jobs whose cancel was asked for.
+	cancels map[job.ID]bool
+	tasks   map[worker.TaskName]*taskHistory
+	orders  map[string]machineOrder
+	broke   []string
 	// Starts, Ends and Moves count what happened.
 	Starts, Ends, Moves, Maintained int
 }
@@ -26,9 +29,10 @@
 	*job.Job
 	truth      []taskTruth
 	acceptedAt time.Time
-	cancelled  time.Time
-	refused    bool
-	shown      job.State
+	// cancelled is when a cancel was acknowledged.
+	cancelled time.Time
+	refused   bool
+	shown     job.State
 }
 
 // taskTruth is what a step's tasks really are, whatever they declare.
@@ -45,8 +49,11 @@
 	running map[runKey]worker.ID
 	// done is set once a run has ended well, noted once its worker may forget that.
 	done, noted bool
-	// lapsed is set when the lease of a worker with an end that is not noted ran out.
-	failed int
+	// failed are the runs that ended failed, and whether their worker may forget that.
+	failed map[runKey]bool
+	// overBudget are starts after as many failures as a task may have; they break a
+	// promise if the failures are noted then or later.
+	overBudget []map[runKey]bool
 }
 
 type machineOrder struct {
@@ -56,7 +63,7 @@
 }
 
 func newLedger() *Ledger {
-	return &Ledger{jobs: map[job.ID]*submitted{}, tasks: map[worker.TaskName]*taskHistory{}, orders: map[string]machineOrder{}}
+	return &Ledger{jobs: map[job.ID]*submitted{}, cancels: map[job.ID]bool{}, tasks: map[worker.TaskName]*taskHistory{}, orders: map[string]machineOrder{}}
 }
 
 // Broken lists the promises that were broken.
@@ -98,10 +105,18 @@
 	l.jobs[id].refused = true
 }
 
+func (l *Ledger) cancelAsked(id job.ID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cancels[id] = true
+}
+
 func (l *Ledger) cancel(id job.ID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.jobs[id].cancelled = time.Now()
+	if s, ok := l.jobs[id]; ok {
+		s.cancelled = time.Now()
+	}
 }
 
 func (l *Ledger) truth(task worker.TaskName) (taskTruth, bool) {
@@ -122,7 +137,7 @@
 func (l *Ledger) history(task worker.TaskName) *taskHistory {
 	h, ok := l.tasks[task]
 	if !ok {
-		h = &taskHistory{running: map[runKey]worker.ID{}}
+		h = &taskHistory{running: map[runKey]worker.ID{}, failed: map[runKey]bool{}}
 		l.tasks[task] = h
 	}
 	return h
@@ -131,8 +146,9 @@
 // cancelTime is how long after a cancel's acknowledgement tasks may be started.
 const cancelTime = 3 * time.Second
 
-// started checks a start when a worker begins it.
-func (l *Ledger) started(w *Worker, o worker.StartOrder, truth taskTruth) {
+// started checks a start when a worker begins it; bounds of time don't hold for one
+// that is carried out late.
+func (l *Ledger) started(w *Worker, o worker.StartOrder, truth taskTruth, late bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.Starts++
@@ -150,14 +166,14 @@
 	if s.refused {
 		l.breaks("refused: %s runs though its job was refused", o.Task)
 	}
-	if !s.cancelled.IsZero() && time.Since(s.cancelled) > cancelTime {
+	if !late && !s.cancelled.IsZero() && time.Since(s.cancelled) > cancelTime {
 		l.breaks("unasked: %s was started %s after its cancel", o.Task, time.Since(s.cancelled))
 	}
 	if w.pool != s.Pool {
 		l.breaks("route: %s of pool %s was started in pool %s", o.Task, s.Pool, w.pool)
 	}
-	if !truth.step.LongRunning && !truth.step.Speculative && h.failed >= s.MaxAttempts {
-		l.breaks("budget: %s was started after %d failures", o.Task, h.failed)
+	if !truth.step.LongRunning && !truth.step.Speculative && len(h.failed) >= s.MaxAttempts {
+		h.overBudget = append(h.overBudget, maps.Clone(h.failed))
 	}
 	for _, earlier := range truth.step.DependsOn {
 		for index := range s.Steps[earlier].Tasks {
@@ -206,7 +222,17 @@
 	case worker.HowDone:
 		h.done = true
 	case worker.HowFailed:
-		h.failed++
+		h.failed[key] = false
+	}
+}
+
+// gangDone takes that a gang has ended well, as one.
+func (l *Ledger) gangDone(task worker.TaskName, count int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for index := range count {
+		task.Index = index
+		l.history(task).done = true
 	}
 }
 
@@ -218,19 +244,47 @@
 }
 
 func (l *Ledger) noted(end worker.Ended) {
-	if end.How != worker.HowDone {
-		return
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.history(end.Task)
+	switch end.How {
+	case worker.HowDone:
+		h.noted = true
+	case worker.HowFailed:
+		h.failed[runKey{end.Task, end.Run}] = true
 	}
+}
+
+// checkBudgets finds starts after too many failures that were noted.
+func (l *Ledger) checkBudgets() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.history(end.Task).noted = true
+	for name, h := range l.tasks {
+		for _, before := range h.overBudget {
+			noted := 0
+			for key := range before {
+				if h.failed[key] {
+					noted++
+				}
+			}
+			if most := l.jobs[job.ID(name.Job)].MaxAttempts; noted >= most {
+				l.breaks("budget: %s was started after %d failures", name, noted)
+			}
+		}
+	}
 }
 
 // shown checks what a caller is told of a job.
 func (l *Ledger) shown(id job.ID, state job.State, known bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := l.jobs[id]
+	s, submitted := l.jobs[id]
+	if !submitted {
+		if known {
+			l.breaks("mixed: job %s is shown, and nobody submitted it", id)
+		}
+		return
+	}
 	if !known {
 		if !s.acceptedAt.IsZero() {
 			l.breaks("lost: job %s is not known %s after it was accepted", id, time.Since(s.acceptedAt))
@@ -247,7 +301,7 @@
 	case job.Failed:
 		l.checkFailed(s)
 	case job.Cancelled:
-		if s.cancelled.IsZero() {
+		if !l.cancels[id] {
 			l.breaks("lost: job %s is shown as cancelled, and nobody cancelled it", id)
 		}
 	}
@@ -267,8 +321,24 @@
 }
 
 func (l *Ledger) checkFailed(s *submitted) {
+	gangs := map[string]map[int64]bool{}
 	for name, h := range l.tasks {
-		if name.Job == string(s.ID) && h.failed >= s.MaxAttempts {
+		if name.Job != string(s.ID) {
+			continue
+		}
+		runs := h.failed
+		if len(runs) >= s.MaxAttempts {
+			return
+		}
+		// A gang fails as one.
+		step := name.StepName()
+		if gangs[step] == nil {
+			gangs[step] = map[int64]bool{}
+		}
+		for key := range runs {
+			gangs[step][key.run] = true
+		}
+		if s.Steps[name.Step].Gang && len(gangs[step]) >= s.MaxAttempts {
 			return
 		}
 	}
@@ -281,7 +351,7 @@
 	defer l.mu.Unlock()
 	var open []job.ID
 	for id, s := range l.jobs {
-		if !s.acceptedAt.IsZero() && !s.shown.Ended() && s.cancelled.IsZero() && !s.Steps[0].LongRunning {
+		if !s.acceptedAt.IsZero() && !s.shown.Ended() && !l.cancels[id] && !s.Steps[0].LongRunning {
 			open = append(open, id)
 		}
 	}
--- a/internal/emulator/site/worker.go
+++ b/internal/emulator/site/worker.go
@@ -11,8 +11,6 @@
 const (
 	// stopTime is how long a stop takes.
 	stopTime = 100 * time.Millisecond
-	// gangTime is how long a gang's member waits for the others.
-	gangTime = 3 * time.Second
 	// checkpointEvery is the work between two checkpoints.
 	checkpointEvery = 500 * time.Millisecond
 )
@@ -94,7 +92,7 @@
 }
 
 // start takes an order to start a run.
-func (w *Worker) start(o worker.StartOrder, from string) worker.StartReply {
+func (w *Worker) start(o worker.StartOrder, from string, late bool) worker.StartReply {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	reply := func(r worker.Refusal) worker.StartReply { return worker.StartReply{Refusal: r, Clock: w.clock()} }
@@ -121,7 +119,7 @@
 	if !r.needs.Fits(w.free()) {
 		return reply(worker.RefusedRoom)
 	}
-	w.site.ledger.started(w, o, truth)
+	w.site.ledger.started(w, o, truth, late)
 	w.runs[key] = r
 	w.begin(r, truth)
 	return reply(worker.Accepted)
@@ -146,12 +144,53 @@
 	r.timer = time.AfterFunc(after, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if w.runs[r.key] == r && !w.dead {
-			w.end(r, how)
+		if w.runs[r.key] != r || w.dead {
+			return
+		}
+		if truth.step.Gang {
+			if how == worker.HowDone {
+				w.site.ledger.gangDone(r.key.task, truth.step.Tasks)
+			}
+			w.site.endGang(r.key, how, w)
+		}
+		w.end(r, how)
+	})
+}
+
+// endGang ends the other members of a gang: they end well together, and break together.
+func (s *Site) endGang(key runKey, how worker.How, except *Worker) {
+	if how != worker.HowDone {
+		how = worker.HowBroken
+	}
+	time.AfterFunc(0, func() {
+		s.mu.Lock()
+		workers := make([]*Worker, 0, len(s.workers))
+		for _, w := range s.workers {
+			if w != except {
+				workers = append(workers, w)
+			}
 		}
+		s.mu.Unlock()
+		for _, w := range workers {
+			w.endMembers(key, how)
+		}
+		except.endMembers(key, how)
 	})
 }
 
+func (w *Worker) endMembers(key runKey, how worker.How) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.dead {
+		return
+	}
+	for other, r := range w.runs {
+		if other.run == key.run && other.task.StepName() == key.task.StepName() {
+			w.end(r, how)
+		}
+	}
+}
+
 func (w *Worker) free() worker.Resources {
 	free := w.capacity
 	for _, r := range w.runs {
--- a/internal/emulator/site/worker_access.go
+++ b/internal/emulator/site/worker_access.go
@@ -57,12 +57,12 @@
 	}
 	if a.loses(ctx, func() {
 		if w.alive() {
-			w.start(o, a.host.Name)
+			w.start(o, a.host.Name, true)
 		}
 	}) {
 		return worker.StartReply{}, verdict.Doubt(verdict.CauseUpstreamSilent, "the worker's answer is lost")
 	}
-	return w.start(o, a.host.Name), nil
+	return w.start(o, a.host.Name, false), nil
 }
 
 func (a *workerAccess) Stop(ctx context.Context, target worker.Target, o worker.StopOrder) error {
