--- /dev/null
+++ b/internal/coordination/capacity/plan_test.go
@@ -0,0 +1,172 @@
+package capacity
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/machine"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
+)
+
+var epoch = time.Date(2026, 1, 5, 0, 0, 0, 0, time.UTC)
+
+var options = Options{
+	Headroom: 1, FloorHosts: 2, ShrinkAfter: time.Second, MoveTime: 1500 * time.Millisecond, MaintenanceTime: 2 * time.Second, WaveShare: 0.5,
+}
+
+func newLoad(pool string, wantedCPU int64) *schedule.Load {
+	return &schedule.Load{Pool: pool, Wanted: worker.Resources{CPU: wantedCPU}, Hosts: map[worker.ID]schedule.HostLoad{}}
+}
+
+// site has two pools and the spares, with a number of machines of 10 cores each.
+func site(maps, archive, spares int) View {
+	v := View{Now: epoch, Ordered: map[string]Order{}}
+	add := func(pool string, n int) {
+		for i := range n {
+			name := fmt.Sprintf("%s-%d", pool, i)
+			v.Machines = append(v.Machines, machine.Machine{
+				Name: name, Pool: pool, State: machine.Up, Capacity: worker.Resources{CPU: 10000, MemoryMB: 10000}, Worker: worker.ID("w-" + name),
+			})
+		}
+	}
+	add("maps", maps)
+	add("archive", archive)
+	add("spare", spares)
+	v.Pools = []Pool{
+		{Name: "maps", Load: newLoad("maps", 0)}, {Name: "archive", Load: newLoad("archive", 0)}, {Name: "spare", Spare: true},
+	}
+	for _, m := range v.Machines {
+		for n := range v.Pools {
+			if v.Pools[n].Name == m.Pool && v.Pools[n].Load != nil {
+				v.Pools[n].Load.Hosts[m.Worker] = schedule.HostLoad{Runs: 1}
+			}
+		}
+	}
+	return v
+}
+
+func (v *View) set(pool, name string, load schedule.HostLoad) {
+	for n := range v.Pools {
+		if v.Pools[n].Name == pool {
+			v.Pools[n].Load.Hosts[worker.ID("w-"+name)] = load
+		}
+	}
+}
+
+func summary(actions []Action) []string {
+	var lines []string
+	for _, a := range actions {
+		line := a.Kind.String() + " " + a.Machine
+		if a.Kind == Move {
+			line += " to " + a.To
+		}
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+func wantActions(t *testing.T, got []Action, want ...string) {
+	t.Helper()
+	if diff := cmp.Diff(want, summary(got)); diff != "" {
+		t.Errorf("actions (-want +got):\n%s", diff)
+	}
+}
+
+func TestDemandTakesSpares(t *testing.T) {
+	v := site(2, 2, 3)
+	v.Pools[0].Load.Wanted.CPU = 40000
+	actions, needs := NewPlanner(options).Plan(v)
+	wantActions(t, actions, "move spare-2 to maps", "move spare-1 to maps")
+	if needs[0].Need != 4 {
+		t.Errorf("need %d; want 4", needs[0].Need)
+	}
+}
+
+func TestRisingDemandIsMetAhead(t *testing.T) {
+	p := NewPlanner(options)
+	v := site(2, 2, 8)
+	v.Pools[0].Load.Wanted.CPU = 10000
+	p.Plan(v)
+	v.Now = v.Now.Add(250 * time.Millisecond)
+	v.Pools[0].Load = newLoad("maps", 20000)
+	_, needs := p.Plan(v)
+	if needs[0].Need <= 2 {
+		t.Errorf("need %d for a demand that doubles in a quarter second", needs[0].Need)
+	}
+}
+
+func TestSurplusLeavesWhenVacant(t *testing.T) {
+	p := NewPlanner(options)
+	v := site(4, 2, 0)
+	v.set("maps", "maps-3", schedule.HostLoad{LongRunning: 1, Runs: 1})
+	actions, _ := p.Plan(v)
+	wantActions(t, actions)
+	v.Now = v.Now.Add(options.ShrinkAfter)
+	actions, _ = p.Plan(v)
+	wantActions(t, actions, "cordon maps-0", "cordon maps-1")
+	v.set("maps", "maps-0", schedule.HostLoad{Cordoned: true, Vacant: true})
+	v.set("maps", "maps-1", schedule.HostLoad{Cordoned: true, Runs: 1})
+	actions, _ = p.Plan(v)
+	wantActions(t, actions, "move maps-0 to spare")
+}
+
+func TestCordonIsLiftedWhenNeeded(t *testing.T) {
+	v := site(3, 2, 0)
+	v.set("maps", "maps-0", schedule.HostLoad{Cordoned: true, Runs: 1})
+	v.Pools[0].Load.Wanted.CPU = 30000
+	actions, _ := NewPlanner(options).Plan(v)
+	wantActions(t, actions, "lift maps-0")
+}
+
+func TestUnknownLoadStaysAsItIs(t *testing.T) {
+	v := site(6, 2, 2)
+	v.Pools[0].Load = nil
+	v.Now = v.Now.Add(time.Hour)
+	actions, _ := NewPlanner(options).Plan(v)
+	wantActions(t, actions)
+}
+
+func TestWaveKeepsItsBound(t *testing.T) {
+	v := site(2, 2, 4)
+	w := Wave{Wave: machine.Wave{Number: 1, Machines: []string{"spare-0", "spare-1", "spare-2", "maps-0"}, Duration: time.Minute, MaxDown: 2}, SeenAt: epoch}
+	w.Begun = map[string]bool{}
+	v.Waves = []Wave{w}
+	actions, _ := NewPlanner(options).Plan(v)
+	wantActions(t, actions, "maintain spare-0", "maintain spare-1")
+	v.Ordered["spare-0"] = Order{Action: Action{Kind: Maintain, Machine: "spare-0", Wave: 1}}
+	v.Machines[5].State = machine.Maintenance
+	v.Waves[0].Begun["spare-1"] = true
+	actions, _ = NewPlanner(options).Plan(v)
+	wantActions(t, actions)
+}
+
+func TestBusyHostsAreMaintainedLateInTheWave(t *testing.T) {
+	v := site(2, 2, 0)
+	v.Waves = []Wave{{
+		Wave: machine.Wave{Number: 1, Machines: []string{"maps-0"}, Duration: time.Minute, MaxDown: 1}, SeenAt: epoch, Begun: map[string]bool{},
+	}}
+	p := NewPlanner(options)
+	actions, _ := p.Plan(v)
+	wantActions(t, actions)
+	v.Now = epoch.Add(31 * time.Second)
+	actions, _ = p.Plan(v)
+	wantActions(t, actions, "cordon maps-0")
+	v.set("maps", "maps-0", schedule.HostLoad{Cordoned: true, LongRunning: 1, Runs: 1})
+	actions, _ = p.Plan(v)
+	wantActions(t, actions)
+	v.set("maps", "maps-0", schedule.HostLoad{Cordoned: true, Vacant: true})
+	actions, _ = p.Plan(v)
+	wantActions(t, actions, "maintain maps-0")
+}
+
+func TestBarredMachinesWait(t *testing.T) {
+	v := site(2, 2, 1)
+	v.Pools[0].Load.Wanted.CPU = 40000
+	v.Ordered["spare-0"] = Order{Action: Action{Kind: Barred, Machine: "spare-0"}}
+	actions, _ := NewPlanner(options).Plan(v)
+	wantActions(t, actions)
+}
--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -67,6 +67,12 @@
 	if !h.confirmed {
 		p.events.Event("host-answers", "host", id, "pool", p.name, "life", reply.Life, "running", len(reply.Running), "ended", len(reply.Ended))
 	}
+	if !h.met {
+		// From now on the worker obeys no earlier owner, so that only the lease which
+		// the last one may just have granted is still to run out.
+		h.met = true
+		h.expiry = earlier(h.expiry, now.Add(p.limits.leaseSpan()))
+	}
 	h.confirmed = true
 	h.answered(now, reply.Clock)
 	h.extendExpiry()
@@ -79,6 +85,13 @@
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // endsPerReply is how many ends a worker lists at a time, from the workers'
 // contract; with as many there may be more.
 const endsPerReply = 500
--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -15,6 +15,8 @@
 	// started before.
 	confirmed bool
 	life      worker.Life
+	// met is set once the worker has answered this owner.
+	met bool
 	// clock is the worker's clock at clockAt, when its answer came.
 	clock   time.Duration
 	clockAt time.Time
--- a/internal/coordination/schedule/limits.go
+++ b/internal/coordination/schedule/limits.go
@@ -25,6 +25,12 @@
 	KeepEnded time.Duration
 }
 
+// leaseSpan is how long a lease may last on the slowest clock allowed.
+func (l *Limits) leaseSpan() time.Duration {
+	longest := min(l.Lease, l.MaxLease)
+	return time.Duration(float64(longest)/(1-clockDrift)) + leaseSlack
+}
+
 const (
 	// clockDrift is how much slower than ours a host's clock may run, from the
 	// workers' contract.
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -37,11 +37,9 @@
 
 // New makes the scheduler of a pool for a tenure that began at now.
 func New(name string, fence worker.Fence, limits Limits, now time.Time, events Events) *Pool {
-	longest := min(limits.Lease, limits.MaxLease)
-	slow := time.Duration(float64(longest) / (1 - clockDrift))
 	return &Pool{
 		name: name, limits: limits, fence: fence, events: events,
-		resolvedBy: now.Add(limits.MaxUnconfirmed + slow + leaseSlack),
+		resolvedBy: now.Add(limits.MaxUnconfirmed + limits.leaseSpan()),
 		guarded:    true,
 		jobs:       map[job.ID]*entry{}, hosts: map[worker.ID]*host{},
 		learned: estimates{},
