--- a/internal/cmd/main.go
+++ b/internal/cmd/main.go
@@ -35,6 +35,7 @@
 	Move    moveCmd    `cmd:"" help:"Move a host to another pool."`
 	Halt    haltCmd    `cmd:"" help:"Stop or resume the maintenance of a data centre."`
 	Plan    planCmd    `cmd:"" help:"Show what the planner would do next, and why."`
+	Job     jobCmd     `cmd:"" help:"Submit, show and cancel jobs."`
 	Dump    dumpCmd    `cmd:"" help:"Show the whole state of an entry host."`
 	Check   checkCmd   `cmd:"" help:"Check settings or a configuration offline."`
 	Restore restoreCmd `cmd:"" help:"Accept that no entry host holds a configuration any more."`
--- a/internal/cmd/serve_jobs.go
+++ b/internal/cmd/serve_jobs.go
@@ -20,6 +20,7 @@
 	"github.com/hornbeammast/hornbeammast/internal/pause"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/settings"
 	"github.com/hornbeammast/hornbeammast/internal/transport/httpconn"
+	"github.com/hornbeammast/hornbeammast/internal/transport/jobs"
 	"github.com/hornbeammast/hornbeammast/platform"
 )
 
@@ -162,11 +163,13 @@
 // maxSubmissionBytes bounds a body before the configuration's own limit does.
 const maxSubmissionBytes = 1 << 20
 
-// metricsHandler serves counters and the dump of the process's state.
+// metricsHandler serves counters, the dump of the process's state, and the product's
+// own interface for jobs.
 func (s *jobServer) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/debug/vars", expvar.Handler())
 	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.host.Metrics()) })
+	mux.Handle("/jobs/", jobs.Handler(s.host))
 	mux.HandleFunc("/dump", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.host.Dump()) })
 	return mux
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hornbeammast/hornbeammast/internal/emulator/site"
 	"github.com/hornbeammast/hornbeammast/internal/entryhost"
 	"github.com/hornbeammast/hornbeammast/internal/eventlog"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/fleet"
@@ -35,6 +36,8 @@
 	platform *standin.Platform
 	workers  []*standin.Worker
 	entries  []*entryhost.EntryHost
+	site     *site.Site
+	jobs     int
 	checks   []check
 }
 
@@ -87,6 +90,12 @@
 		{"the platform is back: what waited is in force", d.afterOutage},
 		{"shut an entry host down with requests in flight; none is cut off", d.shutdown},
 		{"no worker ever ran more than its slots", d.slotsHeld},
+		{"start an emulated platform for jobs with three entry hosts", d.startSite},
+		{"a job's second step waits for its first; the job is done", d.dependentSteps},
+		{"a cancelled job ends at once and runs nothing", d.cancelJob},
+		{"a worker dies: what it ran is started again, and not twice", d.workerDies},
+		{"the owner of a pool dies: another one goes on with its jobs", d.ownerDies},
+		{"workers and callers saw no promise broken", d.promisesHeld},
 	}
 }
 
@@ -109,6 +118,9 @@
 }
 
 func (d *demo) close() {
+	if d.site != nil {
+		d.site.Close()
+	}
 	for _, e := range d.entries {
 		e.Kill()
 	}
--- a/internal/emulator/site/callers.go
+++ b/internal/emulator/site/callers.go
@@ -42,6 +42,15 @@
 	return ready[s.pick(len(ready))]
 }
 
+// SubmitDeclared hands a job in whose tasks are as they declare.
+func (s *Site) SubmitDeclared(queueName string, j *job.Job) bool {
+	truth := make([]taskTruth, len(j.Steps))
+	for n := range j.Steps {
+		truth[n] = taskTruth{step: &j.Steps[n], duration: j.Steps[n].Estimate}
+	}
+	return s.Submit(queueName, j, truth)
+}
+
 // Submit hands a job in, with what its tasks really are, and tries again as callers do.
 func (s *Site) Submit(queueName string, j *job.Job, truth []taskTruth) bool {
 	refused := true
@@ -117,5 +126,5 @@
 	return state
 }
 
-// jobID makes the nth ID.
-func jobID(n int) job.ID { return job.ID(fmt.Sprintf("%016x", n)) }
+// JobID makes the nth ID.
+func JobID(n int) job.ID { return job.ID(fmt.Sprintf("%016x", n)) }
--- a/internal/emulator/site/ledger.go
+++ b/internal/emulator/site/ledger.go
@@ -345,6 +345,19 @@
 	l.breaks("lost: job %s is shown as failed without cause", s.ID)
 }
 
+// Running counts the live runs of a job.
+func (l *Ledger) Running(id job.ID) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for name, h := range l.tasks {
+		if name.Job == string(id) {
+			n += len(h.running)
+		}
+	}
+	return n
+}
+
 // open lists the accepted jobs that should have ended.
 func (l *Ledger) open() []job.ID {
 	l.mu.Lock()
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -241,6 +241,22 @@
 	return h, err
 }
 
+// Owner gives the entry host that owns a pool, or nil.
+func (s *Site) Owner(pool string) *EntryHost {
+	s.mu.Lock()
+	hosts := make([]*EntryHost, 0, len(s.hosts))
+	for _, h := range s.hosts {
+		hosts = append(hosts, h)
+	}
+	s.mu.Unlock()
+	for _, h := range hosts {
+		if h.JobHost != nil && h.Owns(pool) {
+			return h
+		}
+	}
+	return nil
+}
+
 // KillHost ends an entry host as a crash would: nothing that it sends arrives any more.
 func (s *Site) KillHost(h *EntryHost) {
 	s.mu.Lock()
--- a/internal/emulator/site/site_test.go
+++ b/internal/emulator/site/site_test.go
@@ -100,7 +100,7 @@
 func (r *run) submit(queueName string, steps []job.Step, change func(*job.Job, []taskTruth)) job.ID {
 	r.mu.Lock()
 	r.next++
-	id := jobID(r.next)
+	id := JobID(r.next)
 	r.queue[id] = queueName
 	r.mu.Unlock()
 	j := &job.Job{ID: id, Spec: "spec of " + string(id), Steps: steps}
--- a/internal/jobhost/job_host.go
+++ b/internal/jobhost/job_host.go
@@ -205,6 +205,12 @@
 	h.loops.Go(func() { h.keeper.Reacquire(p.id, p.token) })
 }
 
+// Owns tells whether this entry host schedules a pool.
+func (h *JobHost) Owns(pool string) bool {
+	_, _, ok := h.owned(pool)
+	return ok
+}
+
 // owned gives the runner of a pool if this entry host owns it and has loaded it.
 func (h *JobHost) owned(pool string) (*partition, *poolRunner, bool) {
 	h.mu.Lock()
