Submissions and their placement in one append; answers before a shutdown's end

Change: the owner places jobs before it writes them, and plans before each record; requests are bounded by what is left of the grace.

--- a/internal/cmd/serve_jobs.go
+++ b/internal/cmd/serve_jobs.go
@@ -196,6 +196,7 @@
 	began := time.Now()
 	grace := s.settings.Bounds.ShutdownGrace.Std() - drainEnd
 	s.log.Event("shutdown-begun", "open", s.entry.Open(), "grace", grace)
+	s.entry.EndBy(began.Add(grace))
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	s.host.Drain(ctx)
--- a/internal/jobhost/recorder.go
+++ b/internal/jobhost/recorder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -153,8 +154,16 @@
 
 func (r *recorder) record(ctx context.Context) {
 	var all []taken
-	var records []keyedlog.Record
+	submitted := r.takeSubmitted()
+	records := make([]keyedlog.Record, 0, len(submitted))
+	for _, s := range submitted {
+		records = append(records, s.record)
+	}
+	// Jobs are placed at once, so that one append records both; nothing is sent before
+	// it. Cancels count once they are recorded.
+	r.partition.take(withPrefix(records, keyJob))
 	for _, runner := range r.partition.runners() {
+		runner.plan(ctx)
 		what, err := runner.pool.TakeUnrecorded()
 		if err != nil {
 			r.partition.host.events.Event("record-failed", "pool", runner.pool.Name(), "error", err)
@@ -168,11 +177,10 @@
 			records = append(records, keyedlog.Record{Key: keyProgress + string(id), Value: data})
 		}
 	}
-	submitted := r.takeSubmitted()
-	for _, s := range submitted {
-		records = append(records, s.record)
-	}
 	written := len(records) == 0 || r.append(ctx, records)
+	if written {
+		r.partition.take(withPrefix(records, keyCancel))
+	}
 	r.answer(submitted, written)
 	for _, t := range all {
 		if written {
@@ -187,25 +195,25 @@
 	}
 }
 
-// answer tells callers and peers what became of their records; what is written is
-// taken at once.
-func (r *recorder) answer(submitted []*submittedRecord, written bool) {
-	records := make([]keyedlog.Record, 0, len(submitted))
-	for _, s := range submitted {
-		if !written {
-			// The append may have been done without an answer.
-			s.done <- verdict.MayHaveRun
-			continue
+func withPrefix(records []keyedlog.Record, prefix string) []keyedlog.Record {
+	var found []keyedlog.Record
+	for _, record := range records {
+		if strings.HasPrefix(record.Key, prefix) {
+			found = append(found, record)
 		}
-		records = append(records, s.record)
-	}
-	if len(records) > 0 {
-		r.partition.take(records)
 	}
+	return found
+}
+
+// answer tells callers and peers what became of their records.
+func (r *recorder) answer(submitted []*submittedRecord, written bool) {
 	for _, s := range submitted {
 		if written {
 			s.done <- verdict.Ran
+			continue
 		}
+		// The append may have been done without an answer.
+		s.done <- verdict.MayHaveRun
 	}
 }
 
