--- a/internal/coordination/owner/keeper.go
+++ b/internal/coordination/owner/keeper.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/hornbeammast/hornbeammast/internal/pause"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
 )
@@ -47,6 +49,9 @@
 	now     func() time.Time
 	request keyedlog.JoinRequest
 
+	// calling is held during a call, so that no join follows the leave.
+	calling sync.Mutex
+
 	mu sync.Mutex
 	// confirmed is when the last call that succeeded was sent.
 	confirmed time.Time
@@ -76,11 +81,14 @@
 	return k.took
 }
 
-// Run keeps the membership until ctx ends.
+// Run keeps the membership until ctx ends or the member leaves.
 func (k *Keeper) Run(ctx context.Context) {
 	healthy := true
 	for ctx.Err() == nil {
 		changed, err := k.renew(ctx)
+		if errors.Is(err, errLeft) {
+			return
+		}
 		if (err == nil) != healthy {
 			healthy = err == nil
 			k.events.Event("membership-"+map[bool]string{true: "regained", false: "lost"}[healthy],
@@ -96,6 +104,11 @@
 
 // renew joins once; it tells whether a partition was released.
 func (k *Keeper) renew(ctx context.Context) (changed bool, err error) {
+	k.calling.Lock()
+	defer k.calling.Unlock()
+	if k.hasLeft() {
+		return false, errLeft
+	}
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	request := k.request
@@ -106,10 +119,6 @@
 		return false, err
 	}
 	k.mu.Lock()
-	if k.stopped {
-		k.mu.Unlock()
-		return false, nil
-	}
 	// After a gap in which the membership may have run out, others may have held
 	// the partitions; an unchanged generation shows that none has.
 	gap := sent.Sub(k.confirmed) >= k.request.TTL && m.Generation != k.generation
@@ -157,8 +166,19 @@
 	}
 }
 
+// errLeft ends the renewals.
+var errLeft = errors.New("the member has left the group")
+
+func (k *Keeper) hasLeft() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.stopped
+}
+
 // Leave gives all partitions to the others.
 func (k *Keeper) Leave(ctx context.Context) error {
+	k.calling.Lock()
+	defer k.calling.Unlock()
 	k.mu.Lock()
 	held := k.held
 	k.held, k.stopped = nil, true
--- a/internal/coordination/owner/keeper_test.go
+++ b/internal/coordination/owner/keeper_test.go
@@ -18,9 +18,14 @@
 	membership keyedlog.Membership
 	err        error
 	left       bool
+	// joinsAfter counts the joins after the member has left.
+	joinsAfter int
 }
 
 func (g *fakeGroup) Join(context.Context, keyedlog.JoinRequest) (keyedlog.Membership, error) {
+	if g.left {
+		g.joinsAfter++
+	}
 	return g.membership, g.err
 }
 
@@ -126,5 +131,8 @@
 		}
 		time.Sleep(time.Second)
 		n.want(t, "release 0", "release 1")
+		if g.joinsAfter > 0 {
+			t.Errorf("%d joins after the member had left: it would be dealt partitions again", g.joinsAfter)
+		}
 	})
 }
