--- a/internal/coordination/schedule/limits.go
+++ b/internal/coordination/schedule/limits.go
@@ -49,6 +49,9 @@
 	unsurePatience = 100 * time.Millisecond
 	// stopRetry is the time after which a stop without an effect is sent again.
 	stopRetry = 700 * time.Millisecond
+	// desertedAfter is how long a host must be silent before its tasks are copied; a
+	// lost call or two take less.
+	desertedAfter = 2500 * time.Millisecond
 	// stopPatience is how long after its answer a stop may take; then it is sent again.
 	stopPatience = 2 * time.Second
 	// maxStartsPerHost bounds the starts in flight to one host; more only queue there.
--- a/internal/coordination/schedule/schedule_test.go
+++ b/internal/coordination/schedule/schedule_test.go
@@ -233,6 +233,22 @@
 	t.Error("not started again after the lease")
 }
 
+func TestSpeculativeTaskIsCopiedFromASilentHost(t *testing.T) {
+	b := newBench(t, "h1", "h2")
+	copied := like(1, 1000)
+	copied.Speculative = true
+	b.add(idA, copied)
+	starts, _ := b.plan()
+	b.accept(starts...)
+	b.pool.HoldFailed(starts[0].Target.ID, errNoAnswer)
+	b.pass(desertedAfter + time.Millisecond)
+	again, _ := b.plan()
+	b.wantStarts(again, idA+".0.0.0")
+	b.pass(100 * time.Millisecond)
+	third, _ := b.plan()
+	b.wantStarts(third)
+}
+
 func TestGoneHostLapsesAtOnce(t *testing.T) {
 	b := newBench(t, "h1", "h2")
 	b.add(idA, like(1, 1000))
--- a/internal/coordination/schedule/task.go
+++ b/internal/coordination/schedule/task.go
@@ -124,10 +124,20 @@
 
 // waiting tells whether the task needs a start and may get one now.
 func (t *task) waiting(now time.Time) bool {
-	if len(t.runs) > 0 || t.done() || now.Before(t.notBefore) {
+	if t.done() || now.Before(t.notBefore) {
 		return false
 	}
-	return true
+	return len(t.runs) == 0 || t.deserted(now)
+}
+
+// deserted tells whether a task that may run as copies has only one run, on a host
+// that does not answer.
+func (t *task) deserted(now time.Time) bool {
+	if !t.step.def.Speculative || t.step.def.Gang || len(t.runs) != 1 {
+		return false
+	}
+	r := t.runs[0]
+	return !r.unsent && !r.host.confirmed && now.Sub(r.host.heardAt) > desertedAfter
 }
 
 // fullSpeed is the pace of a run that is not slowed down, in per cent.
