A start without an answer is cleared up at once; waves begin earlier

Change: a start times out after 0.4 s, and the host is asked beside its conversation what it runs; an answer that a later one has overtaken is left out (TestOvertakenAnswerIsLeftOut); waves wait a fifth of their time in place of 0.45.

--- a/internal/cmd/serve_jobs.go
+++ b/internal/cmd/serve_jobs.go
@@ -45,7 +45,7 @@
 	// a move there and back costs as much as a host for two seconds.
 	shrinkAfter = 1500 * time.Millisecond
 	// waveShare is the part of a wave's time in which it waits for the pools' troughs.
-	waveShare = 0.45
+	waveShare = 0.2
 	// connsPerAddress bounds the connections to one worker or service.
 	connsPerAddress = 24
 	// connsFromCallers bounds the callers' open connections, below the descriptors.
--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -27,6 +27,13 @@
 	return order, true
 }
 
+// LookOrder asks a host what runs there now, beside its conversation.
+func (p *Pool) LookOrder(id worker.ID, now time.Time) (worker.HoldOrder, bool) {
+	order, ok := p.HoldOrder(id, now)
+	order.Wait = 0
+	return order, ok
+}
+
 // EndsPending tells whether ends of a host wait to be recorded.
 func (p *Pool) EndsPending(id worker.ID) bool {
 	p.mu.Lock()
@@ -61,6 +68,10 @@
 		p.setFenced(id)
 		return
 	}
+	if reply.Life == h.life && reply.Clock < h.clock {
+		// An answer that another one has overtaken; what it lists may be over.
+		return
+	}
 	if h.life != reply.Life {
 		p.newLife(h, reply.Life, now)
 	}
@@ -142,7 +153,7 @@
 			continue
 		}
 		if r.state == sending || r.state == unsure || r.state == inherited {
-			r.state, r.onAt = on, now
+			r.state, r.onAt, r.doubted = on, now, false
 			p.reconsider(r)
 		}
 		if row.Checkpoint != "" {
--- a/internal/coordination/schedule/limits.go
+++ b/internal/coordination/schedule/limits.go
@@ -46,7 +46,7 @@
 	foreignPatience = 2 * time.Second
 	// unsurePatience is how long a start without an answer is left to show up among
 	// what runs before it is stopped.
-	unsurePatience = 100 * time.Millisecond
+	unsurePatience = 20 * time.Millisecond
 	// stopRetry is the time after which a stop without an effect is sent again.
 	stopRetry = 700 * time.Millisecond
 	// desertedAfter is how long a host must be silent before its tasks are copied; a
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -25,6 +25,9 @@
 type Stop struct {
 	Target worker.Target
 	Order  worker.StopOrder
+	// Absent: the run may not be there, so that no end will be listed; the host has to
+	// be asked.
+	Absent bool
 }
 
 // Pace is a change of a run's share of its speed.
@@ -182,7 +185,9 @@
 			}
 			p.events.Event("run-stop", "task", r.name, "run", r.number, "host", id, "reason", r.stopReason)
 			r.stopSentAt = now
-			orders.Stops = append(orders.Stops, Stop{target, worker.StopOrder{Task: r.name, Run: r.number, Fence: p.fence}})
+			orders.Stops = append(orders.Stops, Stop{
+				Target: target, Order: worker.StopOrder{Task: r.name, Run: r.number, Fence: p.fence}, Absent: r.onAt.IsZero() || r.doubted,
+			})
 		}
 		for key, since := range h.foreign {
 			if now.Sub(since) < foreignPatience {
@@ -190,7 +195,7 @@
 			}
 			h.foreign[key] = now
 			p.events.Event("run-stop", "task", key.task, "run", key.run, "host", id, "reason", "unknown-job")
-			orders.Stops = append(orders.Stops, Stop{target, worker.StopOrder{Task: key.task, Run: key.run, Fence: p.fence}})
+			orders.Stops = append(orders.Stops, Stop{Target: target, Order: worker.StopOrder{Task: key.task, Run: key.run, Fence: p.fence}})
 		}
 	}
 }
@@ -226,7 +231,7 @@
 	if err != nil && !notSent {
 		p.events.Event("start-unanswered", "task", order.Task, "run", order.Run, "host", id, "error", err)
 		if r.state == sending {
-			r.state, r.onAt = unsure, now
+			r.state, r.onAt, r.doubted = unsure, now, true
 		}
 		return
 	}
--- a/internal/coordination/schedule/schedule_test.go
+++ b/internal/coordination/schedule/schedule_test.go
@@ -249,6 +249,22 @@
 	b.wantStarts(third)
 }
 
+func TestOvertakenAnswerIsLeftOut(t *testing.T) {
+	b := newBench(t, "h1")
+	b.add(idA, like(1, 1000))
+	starts, _ := b.plan()
+	b.accept(starts...)
+	clock := b.now.Sub(epoch) + time.Second
+	b.pass(time.Second)
+	b.held("h1", 1, ended(starts[0], worker.HowDone))
+	b.plan()
+	old := []worker.Running{{Task: starts[0].Order.Task, Run: starts[0].Order.Run, Percent: 100, Gauge: 1}}
+	b.pool.Held("h1", b.now, b.now, worker.HoldReply{Clock: clock, Life: 1, Running: old})
+	if runs := b.pool.Load(b.now).Hosts["h1"].Runs; runs != 0 {
+		t.Errorf("%d runs after an answer that was overtaken", runs)
+	}
+}
+
 func TestGoneHostLapsesAtOnce(t *testing.T) {
 	b := newBench(t, "h1", "h2")
 	b.add(idA, like(1, 1000))
--- a/internal/coordination/schedule/task.go
+++ b/internal/coordination/schedule/task.go
@@ -91,6 +91,8 @@
 	checkpoint  string
 	// unsent is set until the start is sent.
 	unsent bool
+	// doubted is set when the start got no answer and the run has not been seen.
+	doubted bool
 	// resumed is set when it began from a checkpoint, adopted when an earlier owner
 	// started it; their times tell nothing about the task.
 	resumed, adopted bool
--- a/internal/jobhost/pool_runner.go
+++ b/internal/jobhost/pool_runner.go
@@ -15,10 +15,11 @@
 	// planInterval is how often a pool is planned while nothing happens, so that
 	// what is due by time alone is not late.
 	planInterval = 100 * time.Millisecond
-	// startTimeout bounds a start; well below the lease.
-	startTimeout = time.Second
+	// startTimeout bounds a start; a worker answers within milliseconds, and one that
+	// does not is asked what it runs.
+	startTimeout = 400 * time.Millisecond
 	// stopTimeout bounds a stop or a change of pace.
-	stopTimeout = time.Second
+	stopTimeout = 500 * time.Millisecond
 	// adviceTimeout bounds a question; the service answers its askers in turn.
 	adviceTimeout = 8 * time.Second
 	// ordersAtOnce is how many orders to one host are on their way at a time.
@@ -139,6 +140,27 @@
 	r.host.metrics.start.observe(time.Since(began), err)
 	notSent := err != nil && verdict.Of(err).Verdict == verdict.NotRun
 	r.pool.Started(start.Target.ID, start.Order, r.host.now(), reply, notSent, err)
+	if err != nil && !notSent {
+		r.look(ctx, start.Target)
+	}
+}
+
+// look asks a host what runs there, beside its conversation.
+func (r *poolRunner) look(ctx context.Context, target worker.Target) {
+	now := r.host.now()
+	order, ok := r.pool.LookOrder(target.ID, now)
+	if !ok || !r.host.mayAct(now) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), holdSlack)
+	defer cancel()
+	reply, err := r.host.platform.Workers.Hold(ctx, target, order)
+	if err != nil {
+		// The conversation finds out whether the host is silent.
+		return
+	}
+	r.pool.Held(target.ID, now, r.host.now(), reply)
+	r.record()
 }
 
 func (r *poolRunner) stop(ctx context.Context, stop schedule.Stop) {
@@ -146,6 +168,9 @@
 	defer cancel()
 	err := r.host.platform.Workers.Stop(ctx, stop.Target, stop.Order)
 	r.pool.Stopped(stop.Target.ID, stop.Order, r.host.now(), err)
+	if err == nil && stop.Absent {
+		r.look(ctx, stop.Target)
+	}
 }
 
 func (r *poolRunner) pace(ctx context.Context, pace schedule.Pace) {
