Plan a crowded pool without trying each job on each host

Change: preemption is tried only where a less urgent job has runs, and a step that needs at least what found no room is passed over.

--- /dev/null
+++ b/internal/coordination/schedule/bench_test.go
@@ -0,0 +1,84 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
+	"github.com/hornbeammast/hornbeammast/internal/state/jobs"
+)
+
+// loaded is a pool with hosts that are full, and jobs that wait.
+func loaded(b *testing.B, hosts, waiting int) (*Pool, time.Time) {
+	b.Helper()
+	now := epoch
+	p := New("maps", 7, Limits{Lease: 5 * time.Second, MaxLease: 10 * time.Second, HoldWait: time.Second}, now, quiet{})
+	var reports []worker.Report
+	for n := range hosts {
+		reports = append(reports, report(worker.ID(fmt.Sprintf("h%03d", n))))
+	}
+	p.SetHosts(reports, now)
+	for _, r := range reports {
+		p.Held(r.ID, now, now, worker.HoldReply{Clock: time.Second, Life: 1})
+	}
+	for n := range hosts*4 + waiting {
+		p.AddJob(jobs.New(&job.Job{
+			ID: job.ID(fmt.Sprintf("%016x", n)), Queue: "tiles", Pool: "maps", MaxAttempts: 2, Stretch: 1.6, AcceptedAt: now,
+			Steps: []job.Step{like(4, 1000), like(4, 1000, 0)},
+		}))
+	}
+	p.Plan(now)
+	u, err := p.TakeUnrecorded()
+	if err != nil {
+		b.Fatal(err)
+	}
+	for _, s := range p.Recorded(u, now) {
+		p.Started(s.Target.ID, s.Order, now, worker.StartReply{}, false, nil)
+	}
+	return p, now
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range []struct{ hosts, waiting int }{{3, 10}, {10, 30}, {30, 100}, {100, 300}} {
+		b.Run(fmt.Sprintf("hosts-%d/waiting-%d", size.hosts, size.waiting), func(b *testing.B) {
+			p, now := loaded(b, size.hosts, size.waiting)
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Plan(now)
+			}
+		})
+	}
+}
+
+func BenchmarkLoad(b *testing.B) {
+	p, now := loaded(b, 30, 100)
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Load(now)
+	}
+}
+
+func BenchmarkRecord(b *testing.B) {
+	p, _ := loaded(b, 30, 100)
+	bytes := 0
+	for b.Loop() {
+		p.mu.Lock()
+		for _, e := range p.jobs {
+			if e.liveRuns > 0 {
+				e.dirty = true
+				break
+			}
+		}
+		p.mu.Unlock()
+		u, err := p.TakeUnrecorded()
+		if err != nil {
+			b.Fatal(err)
+		}
+		for _, data := range u.Progress {
+			bytes = len(data)
+		}
+	}
+	b.ReportMetric(float64(bytes), "record-bytes")
+}
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -10,6 +10,8 @@
 // place starts what fits, the most urgent first.
 func (p *Pool) place(now time.Time, orders *Orders) {
 	waiting := false
+	least := p.leastUrgent()
+	var full crowd
 	for _, c := range p.candidates(now) {
 		if c.step.entry.NeedsAdvice {
 			if q, ok := p.question(c.step, now); ok {
@@ -20,11 +22,18 @@
 			waiting = !p.placeGang(c, now, orders) || waiting
 			continue
 		}
+		if full.excludes(c.step) {
+			waiting = true
+			continue
+		}
 		for _, t := range c.tasks {
 			h := p.bestHost(t, now)
 			if h == nil {
 				waiting = true
-				p.preempt(c, now)
+				full.add(c.step)
+				if c.step.entry.Priority < least {
+					p.preempt(c, now)
+				}
 				break
 			}
 			p.start(t, h, t.nextRun(p.fence), now, orders)
@@ -35,6 +44,40 @@
 	}
 }
 
+// leastUrgent is the priority of the least urgent job that has runs.
+func (p *Pool) leastUrgent() int {
+	least := 0
+	for _, e := range p.jobs {
+		if e.liveRuns > 0 {
+			least = max(least, e.Priority)
+		}
+	}
+	return least
+}
+
+// crowd remembers what no host has had room for in one plan, so that what needs at
+// least as much is not tried on every host again.
+type crowd []worker.Resources
+
+// add notes that a step found no room. Bounds of its own may have been the reason,
+// so only a step without them tells about others.
+func (f *crowd) add(s *step) {
+	if s.def.MaxPerHost == 0 && s.def.RequiredLabel == "" && !s.entry.NeedsAdvice {
+		*f = append(*f, s.def.Reserved())
+	}
+}
+
+// excludes tells whether a step needs at least what found no room.
+func (f crowd) excludes(s *step) bool {
+	needs := s.def.Reserved()
+	for _, r := range f {
+		if r.Fits(needs) {
+			return true
+		}
+	}
+	return false
+}
+
 // nextRun gives a run number above all earlier ones of the task, those of earlier
 // owners included.
 func (t *task) nextRun(fence worker.Fence) int64 {
