--- a/internal/jobhost/partition.go
+++ b/internal/jobhost/partition.go
@@ -30,7 +30,9 @@
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
 	// loaded is set once all records that were there have been taken.
-	loaded   atomic.Bool
+	loaded atomic.Bool
+	// lostOnce is set once a later owner was seen.
+	lostOnce atomic.Bool
 	recorder *recorder
 	follower *follower
 
@@ -70,6 +72,14 @@
 	return p
 }
 
+// lost begins a new tenure, since a later owner was seen to have had the partition.
+func (p *partition) lost() {
+	if p.lostOnce.Swap(true) {
+		return
+	}
+	p.host.lostTo(p)
+}
+
 // owns tells whether the partition is loaded and gives the runner of a pool.
 func (p *partition) owns(pool string) (*poolRunner, bool) {
 	if !p.loaded.Load() {
@@ -133,7 +143,7 @@
 		return r
 	}
 	r := &poolRunner{
-		host: p.host, wake: make(chan struct{}, 1), record: p.recorder.signal, talking: map[worker.ID]*conversation{},
+		host: p.host, wake: make(chan struct{}, 1), record: p.recorder.signal, fenced: p.lost, talking: map[worker.ID]*conversation{},
 		pool: schedule.New(pool, worker.Fence(p.token), p.host.limits(), p.host.now(), p.host.events),
 	}
 	p.pools[pool] = r
--- a/internal/jobhost/pool_runner.go
+++ b/internal/jobhost/pool_runner.go
@@ -34,6 +34,8 @@
 	loops sync.WaitGroup
 	// record tells the partition's recorder that there is something to record.
 	record func()
+	// fenced tells the partition that a later owner has been seen.
+	fenced func()
 
 	mu      sync.Mutex
 	talking map[worker.ID]*conversation
@@ -68,6 +70,10 @@
 	if !r.host.mayAct(now) {
 		return
 	}
+	if r.pool.Fenced() {
+		r.fenced()
+		return
+	}
 	orders := r.pool.Plan(now)
 	if orders.Placed {
 		r.record()
--- a/internal/jobhost/recorder.go
+++ b/internal/jobhost/recorder.go
@@ -241,7 +241,7 @@
 		var sequence *keyedlog.SequenceError
 		switch {
 		case errors.Is(err, keyedlog.ErrFenced):
-			host.lostTo(r.partition)
+			r.partition.lost()
 			<-ctx.Done()
 			return false
 		case errors.As(err, &sequence):
