--- a/internal/cmd/cmd_check.go
+++ b/internal/cmd/cmd_check.go
@@ -30,7 +30,7 @@
 	}
 	good := []checked{}
 	for _, path := range k.Settings {
-		if _, err := settings.Load(path); err != nil {
+		if err := checkSettings(path); err != nil {
 			return err
 		}
 		good = append(good, checked{path, "settings"})
@@ -50,6 +50,20 @@
 	return nil
 }
 
+// checkSettings checks a file of either kind of entry host.
+func checkSettings(path string) error {
+	jobs, err := settings.ForJobs(path)
+	if err != nil {
+		return err
+	}
+	if jobs {
+		_, err = settings.LoadJobs(path)
+	} else {
+		_, err = settings.Load(path)
+	}
+	return err
+}
+
 func checkConfig(path string) error {
 	data, err := readInput(path)
 	if err != nil {
--- a/internal/coordination/capacity/plan.go
+++ b/internal/coordination/capacity/plan.go
@@ -81,9 +81,35 @@
 		plan.need = p.need(plan, view.Now)
 		slices.SortFunc(plan.machines, compareSurplus)
 	}
+	share(plans)
 	return plans
 }
 
+// share bounds the needs by the machines that there are: a pool that asks for little
+// gets it, and those that ask for more share what is left evenly.
+func share(plans []*poolPlan) {
+	left := 0
+	var asking []*poolPlan
+	for _, plan := range plans {
+		for _, c := range plan.machines {
+			if c.State != machine.Down {
+				left++
+			}
+		}
+		if plan.Load != nil {
+			asking = append(asking, plan)
+		} else if !plan.Spare {
+			// Its owner does not answer; it keeps what it has.
+			left -= len(plan.machines)
+		}
+	}
+	slices.SortFunc(asking, func(a, b *poolPlan) int { return cmp.Or(cmp.Compare(a.need, b.need), cmp.Compare(a.Name, b.Name)) })
+	for n, plan := range asking {
+		plan.need = min(plan.need, max(0, left)/(len(asking)-n))
+		left -= plan.need
+	}
+}
+
 func (v *View) candidate(m *machine.Machine, pool *Pool) *candidate {
 	c := &candidate{Machine: m}
 	_, c.ordered = v.Ordered[m.Name]
@@ -140,7 +166,7 @@
 	}
 	n := int64(len(plan.machines))
 	hosts := func(wanted worker.Resources) int {
-		return int(math.Ceil(p.options.Headroom * max(share(wanted.CPU, size.CPU/n), share(wanted.MemoryMB, size.MemoryMB/n))))
+		return int(math.Ceil(p.options.Headroom * max(ratio(wanted.CPU, size.CPU/n), ratio(wanted.MemoryMB, size.MemoryMB/n))))
 	}
 	need := max(p.options.FloorHosts, hosts(p.expected(plan.Name, plan.Load.Wanted, now)))
 	if plan.Load.SpreadHosts > 0 {
@@ -150,7 +176,7 @@
 	return need
 }
 
-func share(wanted, size int64) float64 {
+func ratio(wanted, size int64) float64 {
 	if size == 0 {
 		return 0
 	}
--- a/internal/coordination/capacity/plan_test.go
+++ b/internal/coordination/capacity/plan_test.go
@@ -170,3 +170,16 @@
 	actions, _ := NewPlanner(options).Plan(v)
 	wantActions(t, actions)
 }
+
+// TestFloodsShareTheFleet lets two pools ask for more than there is: one may not keep
+// what it has while the other waits with next to nothing.
+func TestFloodsShareTheFleet(t *testing.T) {
+	v := site(8, 2, 0)
+	v.Pools[0].Load.Wanted.CPU = 200000
+	v.Pools[1].Load.Wanted.CPU = 100000
+	actions, needs := NewPlanner(options).Plan(v)
+	if needs[0].Need != 5 || needs[1].Need != 5 {
+		t.Errorf("needs %d and %d of 10 machines; want 5 each", needs[0].Need, needs[1].Need)
+	}
+	wantActions(t, actions, "cordon maps-0", "cordon maps-1", "cordon maps-2")
+}
