--- a/internal/cmd/serve_jobs.go
+++ b/internal/cmd/serve_jobs.go
@@ -130,7 +130,8 @@
 		Partitions: loaded.Platform.Partitions,
 		GroupTTL:   max(groupTTL, loaded.Platform.LeastGroupTTL.Std()),
 		Capacity: jobhost.Capacity{
-			HolderLease: b.HolderLease.Std(),
+			HolderLease:     b.HolderLease.Std(),
+			OrdersPerSecond: loaded.Platform.MachineOrdersPerSecond, ReadsPerSecond: loaded.Platform.MachineReadsPerSecond,
 			Options: capacity.Options{
 				Headroom: poolHeadroom, FloorHosts: poolFloor, ShrinkAfter: shrinkAfter, WaveShare: waveShare,
 				MoveTime: b.MoveTime.Std(), MaintenanceTime: b.MaintenanceTime.Std(),
@@ -139,7 +140,7 @@
 		Limits: schedule.Limits{
 			Lease: min(taskLease, b.MaxLease.Std()), MaxLease: b.MaxLease.Std(), MaxUnconfirmed: maxUnconfirmed, HoldWait: holdWait,
 			CheckpointEvery: b.CheckpointEvery.Std(), FarFactor: b.FarFactor, NoticeTime: b.NoticeTime.Std(),
-			HarmTime: b.HarmTime.Std(), KeepEnded: b.KeepEnded.Std(),
+			KeepEnded: b.KeepEnded.Std(),
 		},
 	}
 }
--- a/internal/coordination/schedule/limits.go
+++ b/internal/coordination/schedule/limits.go
@@ -19,8 +19,6 @@
 	// NoticeTime is how long a replacement of a long-running task must have been at
 	// work before it counts as available.
 	NoticeTime time.Duration
-	// HarmTime is how long a serving task may miss its tail target.
-	HarmTime time.Duration
 	// KeepEnded is how long the state of an ended job may be asked for.
 	KeepEnded time.Duration
 }
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -118,6 +118,9 @@
 		return true
 	}
 	longest := max(hangFloor, hangFactor*p.learned.of(r.task.step.entry.Queue, def.Estimate))
+	if def.OneRack || (def.DataRack != "" && def.DataRack != r.host.report.Rack) {
+		longest = time.Duration(float64(longest) * max(1, p.limits.FarFactor))
+	}
 	return now.Sub(r.onAt) > longest && len(r.task.runs) == 1
 }
 
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -221,11 +221,11 @@
 		Name: name, DataCentre: dataCentre, PeerAddress: h.address, Partitions: partitions, GroupTTL: groupTTL,
 		Limits: schedule.Limits{
 			Lease: 5 * time.Second, MaxLease: maxLease, MaxUnconfirmed: 6 * time.Second, HoldWait: 1500 * time.Millisecond,
-			CheckpointEvery: checkpointEvery, FarFactor: 2, NoticeTime: 4500 * time.Millisecond, HarmTime: 4 * time.Second,
+			CheckpointEvery: checkpointEvery, FarFactor: 2, NoticeTime: 4500 * time.Millisecond,
 			KeepEnded: 2 * time.Minute,
 		},
 		Capacity: jobhost.Capacity{
-			HolderLease: holderLease,
+			HolderLease: holderLease, OrdersPerSecond: 16, ReadsPerSecond: 16,
 			Options: capacity.Options{
 				Headroom: 1.15, FloorHosts: 2, ShrinkAfter: 1500 * time.Millisecond, WaveShare: 0.45,
 				MoveTime: moveTime, MaintenanceTime: maintenanceTime,
--- a/internal/jobhost/fleet_owner.go
+++ b/internal/jobhost/fleet_owner.go
@@ -33,6 +33,19 @@
 	Options capacity.Options
 	// HolderLease is how long an earlier owner's orders are waited out.
 	HolderLease time.Duration
+	// OrdersPerSecond and ReadsPerSecond are what the service of machines takes from
+	// all entry hosts.
+	OrdersPerSecond, ReadsPerSecond float64
+}
+
+// ordersAtOnce is how many orders fit into the time between two plans.
+func (c *Capacity) ordersAtOnce() int {
+	return max(1, int(c.OrdersPerSecond*fleetInterval.Seconds()))
+}
+
+// readInterval leaves half of the rate to the pages of a longer list.
+func (c *Capacity) readInterval() time.Duration {
+	return time.Duration(2 / c.ReadsPerSecond * float64(time.Second))
 }
 
 // fleetOwner is one tenure over machines: it moves them between pools and takes
@@ -183,7 +196,14 @@
 	f.fill(&view)
 	actions, needs := f.planner.Plan(view)
 	f.noteNeeds(needs)
+	left := f.host.settings.Capacity.ordersAtOnce()
 	for _, action := range actions {
+		if action.Kind == capacity.Move || action.Kind == capacity.Maintain {
+			if left--; left < 0 {
+				// The next plan comes before the rate allows more.
+				continue
+			}
+		}
 		f.act(ctx, action)
 	}
 	f.reportWaves(ctx, view.Waves)
@@ -244,7 +264,8 @@
 func (f *fleetOwner) list(ctx context.Context) {
 	now := f.host.now()
 	f.mu.Lock()
-	due := now.Sub(f.listedAt) >= machinesInterval || len(f.ordered) > 0
+	since := now.Sub(f.listedAt)
+	due := since >= machinesInterval || (len(f.ordered) > 0 && since >= f.host.settings.Capacity.readInterval())
 	f.mu.Unlock()
 	if !due {
 		return
--- a/internal/protocol/settings/job_settings.go
+++ b/internal/protocol/settings/job_settings.go
@@ -54,7 +54,6 @@
 	// HolderLease is how long two holders must not take turns in ordering a machine.
 	HolderLease     fleet.Duration `json:"holder-lease,omitempty"`
 	NoticeTime      fleet.Duration `json:"notice-time,omitempty"`
-	HarmTime        fleet.Duration `json:"harm-time,omitempty"`
 	CheckpointEvery fleet.Duration `json:"checkpoint-every,omitempty"`
 	KeepEnded       fleet.Duration `json:"keep-ended,omitempty"`
 	FarFactor       float64        `json:"far-factor,omitempty"`
@@ -76,7 +75,7 @@
 		Bounds: Bounds{
 			MaxLease: fleet.Duration(10 * time.Second), MoveTime: fleet.Duration(2 * time.Second),
 			MaintenanceTime: fleet.Duration(2 * time.Second), HolderLease: fleet.Duration(3 * time.Second),
-			NoticeTime: fleet.Duration(5 * time.Second), HarmTime: fleet.Duration(4 * time.Second),
+			NoticeTime:      fleet.Duration(5 * time.Second),
 			CheckpointEvery: fleet.Duration(time.Second), KeepEnded: fleet.Duration(2 * time.Minute),
 			FarFactor: 2, ShutdownGrace: fleet.Duration(6 * time.Second),
 		},
@@ -131,6 +130,9 @@
 	if s.Bounds.MaxLease < fleet.Duration(time.Second) {
 		return errors.New("bounds: max-lease must be at least 1s")
 	}
+	if s.Platform.MachineOrdersPerSecond <= 0 || s.Platform.MachineReadsPerSecond <= 0 {
+		return errors.New("platform: the rates of the service of machines must be above 0")
+	}
 	if s.LogBytesPerSecond < 1 {
 		return errors.New("log-bytes-per-second must be above 0")
 	}
