--- a/internal/emulator/site/ledger.go
+++ b/internal/emulator/site/ledger.go
@@ -160,6 +160,17 @@
 	if h.noted && !truth.step.Speculative {
 		l.breaks("twice: %s run %d on %s after its good end was noted", o.Task, o.Run, w.id)
 	}
+	l.checkAsked(w, o, s, late)
+	if !truth.step.LongRunning && !truth.step.Speculative && len(h.failed) >= s.MaxAttempts {
+		h.overBudget = append(h.overBudget, maps.Clone(h.failed))
+	}
+	l.checkOrder(o, s, truth)
+	h.running[runKey{o.Task, o.Run}] = w.id
+	l.checkSpread(w, o.Task, truth)
+}
+
+// checkAsked checks that a start is what its caller asked for.
+func (l *Ledger) checkAsked(w *Worker, o worker.StartOrder, s *submitted, late bool) {
 	if o.Spec != s.Spec {
 		l.breaks("unasked: %s was started with another spec", o.Task)
 	}
@@ -172,9 +183,10 @@
 	if w.pool != s.Pool {
 		l.breaks("route: %s of pool %s was started in pool %s", o.Task, s.Pool, w.pool)
 	}
-	if !truth.step.LongRunning && !truth.step.Speculative && len(h.failed) >= s.MaxAttempts {
-		h.overBudget = append(h.overBudget, maps.Clone(h.failed))
-	}
+}
+
+// checkOrder checks that a start's predecessors are done and its time has come.
+func (l *Ledger) checkOrder(o worker.StartOrder, s *submitted, truth taskTruth) {
 	for _, earlier := range truth.step.DependsOn {
 		for index := range s.Steps[earlier].Tasks {
 			name := worker.TaskName{Job: o.Task.Job, Occurrence: o.Task.Occurrence, Step: earlier, Index: index}
@@ -186,8 +198,6 @@
 	if s.Occurrences > 0 && time.Now().Before(s.DueAt(o.Task.Occurrence).Add(-250*time.Millisecond)) {
 		l.breaks("order: %s was started before it was due", o.Task)
 	}
-	h.running[runKey{o.Task, o.Run}] = w.id
-	l.checkSpread(w, o.Task, truth)
 }
 
 // checkSpread checks how many tasks of a step run on one worker.
