--- a/internal/jobhost/job_host.go
+++ b/internal/jobhost/job_host.go
@@ -75,6 +75,8 @@
 	mu         sync.Mutex
 	partitions map[keyedlog.Partition]*partition
 	fleet      *fleetOwner
+	// unfollow ends the reading of the hosts' reports; nil while nothing is owned.
+	unfollow context.CancelFunc
 }
 
 // Option changes how a job host is started.
@@ -119,12 +121,7 @@
 		log: h.platform.Log, events: h.events, partition: h.platform.Published.Operators(), now: h.now,
 		take: h.operators.take,
 	}
-	hosts := &follower{
-		log: h.platform.Log, events: h.events, partition: h.platform.Published.Hosts(), now: h.now,
-		reset: h.hosts.reset, take: h.hosts.take, gather: hostsGather,
-	}
 	h.loops.Go(func() { operators.run(ctx) })
-	h.loops.Go(func() { hosts.run(ctx) })
 	h.loops.Go(func() { h.keeper.Run(ctx) })
 }
 
@@ -176,16 +173,36 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.partitions[id] = startPartition(h, id, token)
+	h.followHosts()
 	if id.Number == fleetPartition {
 		h.fleet = startFleetOwner(h, token)
 	}
 }
 
+// followHosts reads the hosts' reports while a partition is owned. They are the most
+// that the log carries, and only owners need them. The lock is held.
+func (h *JobHost) followHosts() {
+	if h.unfollow != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	h.unfollow = cancel
+	hosts := &follower{
+		log: h.platform.Log, events: h.events, partition: h.platform.Published.Hosts(), now: h.now,
+		reset: h.hosts.reset, take: h.hosts.take, gather: hostsGather,
+	}
+	h.loops.Go(func() { hosts.run(ctx) })
+}
+
 // Release ends the tenure of a partition.
 func (h *JobHost) Release(id keyedlog.Partition) {
 	h.mu.Lock()
 	p := h.partitions[id]
 	delete(h.partitions, id)
+	if len(h.partitions) == 0 && h.unfollow != nil {
+		h.unfollow()
+		h.unfollow = nil
+	}
 	var fleet *fleetOwner
 	if id.Number == fleetPartition {
 		fleet, h.fleet = h.fleet, nil
@@ -243,6 +260,9 @@
 	h.mu.Lock()
 	partitions, fleet := h.partitions, h.fleet
 	h.partitions, h.fleet = map[keyedlog.Partition]*partition{}, nil
+	if h.unfollow != nil {
+		h.unfollow()
+	}
 	h.mu.Unlock()
 	for _, p := range partitions {
 		p.stop()
