Peers give the configuration to a host that the log turns away; events are counted

Cause: an entry host that the store turns away kept an old configuration, though its peers had the new one. Change: it asks two peers each 0.4 s (TestTurnedAwayHostAsksItsPeers failed first); /metrics counts every event, also those whose lines were left out.

--- a/internal/cmd/serve_jobs.go
+++ b/internal/cmd/serve_jobs.go
@@ -169,12 +169,19 @@
 func (s *jobServer) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/debug/vars", expvar.Handler())
-	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.host.Metrics()) })
+	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.counters()) })
 	mux.Handle("/jobs/", jobs.Handler(s.host))
 	mux.HandleFunc("/dump", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.host.Dump()) })
 	return mux
 }
 
+// counters are how often each event happened, and the latencies.
+func (s *jobServer) counters() map[string]any {
+	all := s.host.Metrics()
+	all["events"] = s.log.Counts()
+	return all
+}
+
 func writeJSON(w http.ResponseWriter, value any) {
 	data, err := json.MarshalIndent(value, "", "  ")
 	if err != nil {
--- a/internal/emulator/site/site_test.go
+++ b/internal/emulator/site/site_test.go
@@ -278,6 +278,28 @@
 	}
 }
 
+// TestTurnedAwayHostAsksItsPeers publishes a configuration while the log turns one
+// entry host away: it is in force there all the same.
+func TestTurnedAwayHostAsksItsPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := begin(t, 10)
+		h := r.hosts[0]
+		r.site.SetTrouble(h.Name, Trouble{Refuses: true})
+		time.Sleep(3 * time.Second)
+		next := *configuration
+		next.Version = 2
+		if err := r.site.Configure(&next); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+		if got := h.Configuration().Version; got != 2 {
+			t.Errorf("version %d is in force 2 s after version 2 was published", got)
+		}
+		r.site.SetTrouble(h.Name, Trouble{})
+		r.settle()
+	})
+}
+
 // TestDeadHostAcrossOwners ends a worker while its pool's owners are stopped one
 // after the other: what it ran is started again soon, and not after the longest
 // lease of each new owner.
--- a/internal/eventlog/event_log.go
+++ b/internal/eventlog/event_log.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
@@ -12,6 +14,16 @@
 // Log writes events.
 type Log struct {
 	logger *logrus.Logger
+
+	mu     sync.Mutex
+	counts map[string]int64
+}
+
+// Counts tells how often each event happened, lines that were left out included.
+func (l *Log) Counts() map[string]int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.counts)
 }
 
 // levels are the events that are not of level info.
@@ -44,11 +56,14 @@
 	logger.SetOutput(w)
 	logger.SetLevel(parsed)
 	logger.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: timeFormat})
-	return &Log{logger: logger}, nil
+	return &Log{logger: logger, counts: map[string]int64{}}, nil
 }
 
 // Event writes one line: the event's name and pairs of keys and values.
 func (l *Log) Event(name string, pairs ...any) {
+	l.mu.Lock()
+	l.counts[name]++
+	l.mu.Unlock()
 	level, ok := levels[name]
 	if !ok {
 		level = logrus.InfoLevel
--- a/internal/jobhost/answers.go
+++ b/internal/jobhost/answers.go
@@ -86,5 +86,6 @@
 
 // Configuration gives the configuration in force if it is above a version.
 func (a peerAnswers) Configuration(_ context.Context, request *wire.ConfigurationRequest) (*wire.ConfigurationReply, error) {
-	return &wire.ConfigurationReply{Record: a.host.operators.recordAbove(request.GetAbove())}, nil
+	record := a.host.operators.recordAbove(request.GetAbove())
+	return &wire.ConfigurationReply{Key: record.Key, Value: record.Value}, nil
 }
--- a/internal/jobhost/fleet_view.go
+++ b/internal/jobhost/fleet_view.go
@@ -76,13 +76,13 @@
 }
 
 // recordAbove gives the configuration as it was published, if it is newer.
-func (v *operatorsView) recordAbove(version int64) []byte {
+func (v *operatorsView) recordAbove(version int64) keyedlog.Record {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if config := v.config.Load(); config == nil || config.Version <= version {
-		return nil
+		return keyedlog.Record{}
 	}
-	return v.record.Value
+	return v.record
 }
 
 func (v *operatorsView) allWaves() []machine.Wave {
--- a/internal/jobhost/job_host.go
+++ b/internal/jobhost/job_host.go
@@ -16,6 +16,7 @@
 	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/machine"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/queue"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 	"github.com/hornbeammast/hornbeammast/internal/transport/peer"
 )
@@ -33,6 +34,9 @@
 	// contactTime is how long after the last answer the log counts as reached: two
 	// renewals of the membership.
 	contactTime = 1300 * time.Millisecond
+	// askPeersInterval is how often peers are asked for the configuration while the log
+	// does not answer.
+	askPeersInterval = 400 * time.Millisecond
 	// groupName is the group of all entry hosts.
 	groupName = "entry-hosts"
 )
@@ -122,9 +126,38 @@
 		take: h.operators.take,
 	}
 	h.loops.Go(func() { operators.run(ctx) })
+	h.loops.Go(func() { h.askPeers(ctx) })
 	h.loops.Go(func() { h.keeper.Run(ctx) })
 }
 
+// askPeers keeps the configuration in force while the log turns this entry host away.
+func (h *JobHost) askPeers(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait(ctx, askPeersInterval)
+		if h.inContact() {
+			continue
+		}
+		version := int64(0)
+		if config := h.config(); config != nil {
+			version = config.Version
+		}
+		peers := h.directory.members(ctx)
+		for _, address := range peers[:min(relayPeers, len(peers))] {
+			if h.directory.unreachable(address) {
+				continue
+			}
+			reply, err := h.peers.Configuration(ctx, address, &wire.ConfigurationRequest{Above: version})
+			if err != nil {
+				h.directory.unanswered(address)
+				continue
+			}
+			if len(reply.GetValue()) > 0 {
+				h.operators.take([]keyedlog.Record{{Key: reply.GetKey(), Value: reply.GetValue()}})
+			}
+		}
+	}
+}
+
 // memberName carries the address, so that the owners' list is the directory.
 func memberName(name string, address netip.AddrPort, now time.Time) string {
 	return name + "@" + address.String() + "@" + strconv.FormatInt(now.UnixMilli(), 36)
