--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -236,8 +236,10 @@
 		Log:     &storeAccess{store: s.store, host: name, trouble: s.trouble},
 		Workers: &workerAccess{s, h}, Machines: &machineAccess{s, h}, Published: published{},
 	}
-	var err error
-	h.JobHost, err = jobhost.Start(settings, platform, s.events(name), time.Now, jobhost.WithNetwork(hostNetwork{s.network, h}))
+	started, err := jobhost.Start(settings, platform, s.events(name), time.Now, jobhost.WithNetwork(hostNetwork{s.network, h}))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h.JobHost = started
 	return h, err
 }
 
--- a/internal/jobhost/job_host.go
+++ b/internal/jobhost/job_host.go
@@ -37,6 +37,8 @@
 	// askPeersInterval is how often peers are asked for the configuration while the log
 	// does not answer.
 	askPeersInterval = 400 * time.Millisecond
+	// ownersKnown is how old the list of owners may become while nobody needs it.
+	ownersKnown = 5 * time.Second
 	// groupName is the group of all entry hosts.
 	groupName = "entry-hosts"
 )
@@ -135,6 +137,8 @@
 	for ctx.Err() == nil {
 		wait(ctx, askPeersInterval)
 		if h.inContact() {
+			// The list of owners has to be known before the log can't be asked for it.
+			h.directory.refresh(ctx, ownersKnown)
 			continue
 		}
 		version := int64(0)
