Tenures change one at a time; nothing is started once a host is closed

Cause: the race detector showed an append begun while the entry host closed, and a new tenure begun beside a renewal. Change: a renewal and a new tenure exclude each other; spawn refuses after Close.

--- a/internal/coordination/owner/keeper.go
+++ b/internal/coordination/owner/keeper.go
@@ -49,8 +49,10 @@
 	now     func() time.Time
 	request keyedlog.JoinRequest
 
-	// calling is held during a call, so that no join follows the leave.
-	calling sync.Mutex
+	// calling is held during a call and while its outcome is applied, so that no join
+	// follows the leave, and tenures change one at a time.
+	// It is a channel, since it is held while a call waits.
+	calling chan struct{}
 
 	mu sync.Mutex
 	// confirmed is when the last call that succeeded was sent.
@@ -64,7 +66,7 @@
 
 // New makes a keeper; now must go on while the machine is suspended.
 func New(group Group, holder Holder, events Events, now func() time.Time, request keyedlog.JoinRequest) *Keeper {
-	return &Keeper{group: group, holder: holder, events: events, now: now, request: request}
+	return &Keeper{group: group, holder: holder, events: events, now: now, request: request, calling: make(chan struct{}, 1)}
 }
 
 // Confirmed is since when the log is known to have confirmed the membership.
@@ -104,8 +106,8 @@
 
 // renew joins once; it tells whether a partition was released.
 func (k *Keeper) renew(ctx context.Context) (changed bool, err error) {
-	k.calling.Lock()
-	defer k.calling.Unlock()
+	k.calling <- struct{}{}
+	defer func() { <-k.calling }()
 	if k.hasLeft() {
 		return false, errLeft
 	}
@@ -149,6 +151,9 @@
 // Reacquire begins a new tenure of a partition that a later owner was seen to
 // have had, with the newest generation as its token.
 func (k *Keeper) Reacquire(p keyedlog.Partition, token int64) {
+	// A renewal that takes the partition away must not come between.
+	k.calling <- struct{}{}
+	defer func() { <-k.calling }()
 	k.mu.Lock()
 	generation := k.generation
 	held := slices.Contains(k.held, p)
@@ -177,8 +182,8 @@
 
 // Leave gives all partitions to the others.
 func (k *Keeper) Leave(ctx context.Context) error {
-	k.calling.Lock()
-	defer k.calling.Unlock()
+	k.calling <- struct{}{}
+	defer func() { <-k.calling }()
 	k.mu.Lock()
 	held := k.held
 	k.held, k.stopped = nil, true
--- a/internal/coordination/owner/keeper_test.go
+++ b/internal/coordination/owner/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +16,8 @@
 
 // fakeGroup answers with what a test sets.
 type fakeGroup struct {
+	mu sync.Mutex
+
 	membership keyedlog.Membership
 	err        error
 	left       bool
@@ -23,6 +26,8 @@
 }
 
 func (g *fakeGroup) Join(context.Context, keyedlog.JoinRequest) (keyedlog.Membership, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	if g.left {
 		g.joinsAfter++
 	}
@@ -30,18 +35,27 @@
 }
 
 func (g *fakeGroup) Leave(context.Context, string, string) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.left = true
 	return nil
 }
 
 // notes writes down what the keeper tells.
-type notes struct{ lines []string }
+type notes struct {
+	mu    sync.Mutex
+	lines []string
+}
 
 func (n *notes) Acquire(p keyedlog.Partition, token int64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.lines = append(n.lines, fmt.Sprintf("acquire %d with %d", p.Number, token))
 }
 
 func (n *notes) Release(p keyedlog.Partition) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.lines = append(n.lines, fmt.Sprintf("release %d", p.Number))
 }
 
@@ -49,6 +63,8 @@
 
 func (n *notes) want(t *testing.T, want ...string) {
 	t.Helper()
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	if diff := cmp.Diff(want, n.lines); diff != "" {
 		t.Errorf("told (-want +got):\n%s", diff)
 	}
@@ -63,6 +79,13 @@
 	return all
 }
 
+// set changes what the group answers.
+func (g *fakeGroup) set(change func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	change()
+}
+
 func play(t *testing.T, run func(t *testing.T, g *fakeGroup, n *notes, k *Keeper)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
@@ -85,7 +108,7 @@
 
 func TestChangeOfShare(t *testing.T) {
 	play(t, func(t *testing.T, g *fakeGroup, n *notes, _ *Keeper) {
-		g.membership = keyedlog.Membership{Generation: 4, Partitions: parts(1, 2)}
+		g.set(func() { g.membership = keyedlog.Membership{Generation: 4, Partitions: parts(1, 2)} })
 		time.Sleep(time.Second)
 		n.want(t, "release 0", "acquire 2 with 4")
 	})
@@ -93,12 +116,12 @@
 
 func TestGapMeansANewTenure(t *testing.T) {
 	play(t, func(t *testing.T, g *fakeGroup, n *notes, k *Keeper) {
-		g.err = errors.New("no answer")
+		g.set(func() { g.err = errors.New("no answer") })
 		time.Sleep(3 * time.Second)
 		if age := time.Since(k.Confirmed()); age < 2*time.Second {
 			t.Errorf("confirmed %s ago, with no answer for 3 s", age)
 		}
-		g.err, g.membership.Generation = nil, 6
+		g.set(func() { g.err, g.membership.Generation = nil, 6 })
 		time.Sleep(time.Second)
 		n.want(t, "release 0", "release 1", "acquire 0 with 6", "acquire 1 with 6")
 	})
@@ -106,9 +129,9 @@
 
 func TestGapWithoutAChangeKeepsTheTenure(t *testing.T) {
 	play(t, func(t *testing.T, g *fakeGroup, n *notes, _ *Keeper) {
-		g.err = errors.New("no answer")
+		g.set(func() { g.err = errors.New("no answer") })
 		time.Sleep(3 * time.Second)
-		g.err = nil
+		g.set(func() { g.err = nil })
 		time.Sleep(time.Second)
 		n.want(t)
 	})
@@ -118,7 +141,7 @@
 	play(t, func(t *testing.T, g *fakeGroup, n *notes, k *Keeper) {
 		k.Reacquire(parts(0)[0], 3)
 		n.want(t, "release 0")
-		g.membership.Generation = 5
+		g.set(func() { g.membership.Generation = 5 })
 		time.Sleep(time.Second)
 		n.want(t, "acquire 0 with 5")
 	})
--- a/internal/jobhost/fleet_owner.go
+++ b/internal/jobhost/fleet_owner.go
@@ -400,7 +400,7 @@
 	f.mu.Unlock()
 	if fenced {
 		tenure := keyedlog.Partition{Topic: TopicJobs, Number: fleetPartition}
-		f.host.loops.Go(func() { f.host.keeper.Reacquire(tenure, f.token) })
+		f.host.spawn(func() { f.host.keeper.Reacquire(tenure, f.token) })
 	}
 }
 
--- a/internal/jobhost/job_host.go
+++ b/internal/jobhost/job_host.go
@@ -81,6 +81,8 @@
 	mu         sync.Mutex
 	partitions map[keyedlog.Partition]*partition
 	fleet      *fleetOwner
+	// closed is set once nothing more may be started.
+	closed bool
 	// unfollow ends the reading of the hosts' reports; nil while nothing is owned.
 	unfollow context.CancelFunc
 }
@@ -219,7 +221,7 @@
 // followHosts reads the hosts' reports while a partition is owned. They are the most
 // that the log carries, and only owners need them. The lock is held.
 func (h *JobHost) followHosts() {
-	if h.unfollow != nil {
+	if h.unfollow != nil || h.closed {
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -256,7 +258,18 @@
 // lostTo begins anew after a later owner was seen to have had the partition.
 func (h *JobHost) lostTo(p *partition) {
 	h.events.Event("partition-fenced", "partition", p.id.Number, "token", p.token)
-	h.loops.Go(func() { h.keeper.Reacquire(p.id, p.token) })
+	h.spawn(func() { h.keeper.Reacquire(p.id, p.token) })
+}
+
+// spawn runs a function beside the others; it tells whether the host is not closed.
+func (h *JobHost) spawn(run func()) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		return false
+	}
+	h.loops.Go(run)
+	return true
 }
 
 // Owns tells whether this entry host schedules a pool.
@@ -295,6 +308,7 @@
 func (h *JobHost) Close() {
 	h.cancel()
 	h.mu.Lock()
+	h.closed = true
 	partitions, fleet := h.partitions, h.fleet
 	h.partitions, h.fleet = map[keyedlog.Partition]*partition{}, nil
 	if h.unfollow != nil {
--- a/internal/jobhost/log_recorder.go
+++ b/internal/jobhost/log_recorder.go
@@ -147,8 +147,8 @@
 	}
 	b.records = append(b.records, record)
 	l.mu.Unlock()
-	if !running {
-		l.host.loops.Go(func() { l.flush(partition, b) })
+	if !running && !l.host.spawn(func() { l.flush(partition, b) }) {
+		return verdict.Refuse(verdict.CauseShuttingDown, "this entry host is shutting down; try another")
 	}
 	select {
 	case <-b.done:
