Pick a live machine in one place

Cause: four troubles of the emulated site each had the same choice of a machine. Change: anyMachine; behaviour stays as it is. Measured: vet, gofumpt and the tests of internal/emulator/site pass.

--- a/internal/emulator/site/troubles.go
+++ b/internal/emulator/site/troubles.go
@@ -20,15 +20,23 @@
 	return sortedMachines(live)
 }
 
+// anyMachine gives one of the live machines at random, or nil.
+func (s *Site) anyMachine() *simMachine {
+	live := s.liveMachines()
+	if len(live) == 0 {
+		return nil
+	}
+	return live[s.pick(len(live))]
+}
+
 // CrashWorker ends a worker at once; its machine is down for a while.
 func (s *Site) CrashWorker(away time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	live := s.liveMachines()
-	if len(live) == 0 {
+	m := s.anyMachine()
+	if m == nil {
 		return
 	}
-	m := live[s.pick(len(live))]
 	s.takeDown(m, machine.Down, m.pool, away)
 }
 
@@ -36,11 +44,11 @@
 func (s *Site) DarkenWorker(away time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	live := s.liveMachines()
-	if len(live) == 0 {
+	m := s.anyMachine()
+	if m == nil {
 		return
 	}
-	w := live[s.pick(len(live))].worker
+	w := m.worker
 	w.dark = true
 	time.AfterFunc(away, func() {
 		s.mu.Lock()
@@ -53,11 +61,11 @@
 func (s *Site) SpoilWorker(hangs bool, lasts time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	live := s.liveMachines()
-	if len(live) == 0 {
+	m := s.anyMachine()
+	if m == nil {
 		return
 	}
-	w := live[s.pick(len(live))].worker
+	w := m.worker
 	set := func(on bool) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -71,11 +79,10 @@
 func (s *Site) DrainWorker(notice time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	live := s.liveMachines()
-	if len(live) == 0 {
+	m := s.anyMachine()
+	if m == nil {
 		return
 	}
-	m := live[s.pick(len(live))]
 	w := m.worker
 	w.mu.Lock()
 	w.draining = true
