Ledger of the emulated site: ends whose lease lapsed, early starts, whole gangs

Change: the ledger leaves out ends whose worker's lease ran out between the end and its being noted. It is stricter elsewhere: a start after a good end that is noted only later breaks a promise now, as in those rules, for each member of a gang too. That showed that the emulated gangs ended before all members were there; they wait for each other now, and end alone after 3 s.

--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -47,6 +47,7 @@
 	network  *network
 	events   func(host string) Events
 	maxLease time.Duration
+	gangs    gangs
 
 	mu       sync.Mutex
 	rng      *rand.Rand
@@ -81,6 +82,7 @@
 // New makes a site whose luck comes from a seed.
 func New(layout Layout, seed uint64, events func(host string) Events) *Site {
 	s := &Site{
+		gangs:  gangs{present: map[gangKey]map[int]func(){}},
 		ledger: newLedger(), events: events, maxLease: maxLease, rng: rand.New(rand.NewPCG(seed, 1)), //nolint:gosec // Not for secrets.
 		workers: map[worker.ID]*Worker{}, machines: map[string]*simMachine{}, waves: map[int64]machine.Wave{},
 		hosts: map[string]*EntryHost{}, troubles: map[string]Trouble{}, cut: map[string]bool{},
--- a/internal/emulator/site/worker.go
+++ b/internal/emulator/site/worker.go
@@ -36,9 +36,14 @@
 	rate  float64
 	fence worker.Fence
 	lease time.Duration
-	runs  map[runKey]*taskRun
-	ends  []worker.Ended
-	next  int64
+	// lapses counts how often the lease ran out, lapsedLease is the last one that did.
+	lapses      int
+	lapsedLease time.Duration
+	// endLapses is how often it had when an end was listed, by the end's number.
+	endLapses map[int64]int
+	runs      map[runKey]*taskRun
+	ends      []worker.Ended
+	next      int64
 	// highest is the highest run of each task that was stopped or has ended here.
 	highest map[worker.TaskName]int64
 	changed chan struct{}
@@ -58,14 +63,16 @@
 	began      time.Time
 	checkpoint string
 	stopping   bool
-	timer      *time.Timer
+	// working is set once the run works; a member of a gang waits for the others before.
+	working bool
+	timer   *time.Timer
 }
 
 func newWorker(s *Site, id worker.ID, m *simMachine, rate float64) *Worker {
 	now := time.Now()
 	w := &Worker{
 		site: s, id: id, pool: m.pool, dataCentre: m.dataCentre, rack: m.rack, capacity: m.capacity, machine: m.name,
-		born: now, life: worker.Life(now.UnixMilli()), rate: rate, runs: map[runKey]*taskRun{},
+		born: now, life: worker.Life(now.UnixMilli()), rate: rate, runs: map[runKey]*taskRun{}, endLapses: map[int64]int{},
 		highest: map[worker.TaskName]int64{}, changed: make(chan struct{}),
 	}
 	return w
@@ -125,9 +132,29 @@
 	return reply(worker.Accepted)
 }
 
-// begin sets when a run ends by itself.
+// begin lets a run work; a gang's members work from the moment when all are there.
 func (w *Worker) begin(r *taskRun, truth taskTruth) {
+	if truth.step.Gang {
+		w.site.gangs.join(r.key, truth.step.Tasks, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if w.runs[r.key] == r && !w.dead {
+				w.work(r, truth)
+			}
+		})
+		w.awaitGang(r)
+		return
+	}
+	w.work(r, truth)
+}
+
+// work sets when a run ends by itself.
+func (w *Worker) work(r *taskRun, truth taskTruth) {
 	how, after := worker.HowDone, truth.duration
+	r.working = true
+	if r.timer != nil {
+		r.timer.Stop()
+	}
 	switch {
 	case w.hangs:
 		return
@@ -149,7 +176,7 @@
 		}
 		if truth.step.Gang {
 			if how == worker.HowDone {
-				w.site.ledger.gangDone(r.key.task, truth.step.Tasks)
+				w.site.ledger.gangDone(r.key.task, r.key.run, truth.step.Tasks)
 			}
 			w.site.endGang(r.key, how, w)
 		}
@@ -157,40 +184,6 @@
 	})
 }
 
-// endGang ends the other members of a gang: they end well together, and break together.
-func (s *Site) endGang(key runKey, how worker.How, except *Worker) {
-	if how != worker.HowDone {
-		how = worker.HowBroken
-	}
-	time.AfterFunc(0, func() {
-		s.mu.Lock()
-		workers := make([]*Worker, 0, len(s.workers))
-		for _, w := range s.workers {
-			if w != except {
-				workers = append(workers, w)
-			}
-		}
-		s.mu.Unlock()
-		for _, w := range workers {
-			w.endMembers(key, how)
-		}
-		except.endMembers(key, how)
-	})
-}
-
-func (w *Worker) endMembers(key runKey, how worker.How) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.dead {
-		return
-	}
-	for other, r := range w.runs {
-		if other.run == key.run && other.task.StepName() == key.task.StepName() {
-			w.end(r, how)
-		}
-	}
-}
-
 func (w *Worker) free() worker.Resources {
 	free := w.capacity
 	for _, r := range w.runs {
@@ -201,6 +194,7 @@
 
 // extend moves the end of the lease of all that runs; it never shortens.
 func (w *Worker) extend(end time.Duration) {
+	w.noteLapse()
 	end = min(end, w.clock()+w.site.maxLease)
 	if end <= w.lease {
 		return
@@ -210,12 +204,21 @@
 	time.AfterFunc(left+time.Millisecond, w.lapse)
 }
 
+// noteLapse counts a lease that has run out, once.
+func (w *Worker) noteLapse() {
+	if w.lease > 0 && w.clock() >= w.lease && w.lapsedLease != w.lease {
+		w.lapsedLease = w.lease
+		w.lapses++
+	}
+}
+
 func (w *Worker) lapse() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.dead || w.clock() < w.lease {
 		return
 	}
+	w.noteLapse()
 	for _, r := range w.runs {
 		w.end(r, worker.HowLapsed)
 	}
@@ -224,6 +227,7 @@
 // end takes a run off and lists its end.
 func (w *Worker) end(r *taskRun, how worker.How) {
 	delete(w.runs, r.key)
+	w.site.gangs.leave(r.key)
 	if r.timer != nil {
 		r.timer.Stop()
 	}
@@ -234,6 +238,7 @@
 	}
 	w.next++
 	w.ends = append(w.ends, worker.Ended{Number: w.next, Task: r.key.task, Run: r.key.run, How: how, Checkpoint: checkpoint})
+	w.endLapses[w.next] = w.lapses
 	w.site.ledger.ended(w, r.key, how)
 	w.notify()
 }
@@ -274,13 +279,14 @@
 		return worker.HoldReply{Fenced: true, Clock: w.clock(), Life: w.life}, nil
 	}
 	w.fence = o.Fence
-	w.extend(o.LeaseEnd)
+	w.noteLapse()
 	w.ends = slices.DeleteFunc(w.ends, func(e worker.Ended) bool {
 		if e.Number <= o.LastSeen {
-			w.site.ledger.noted(e)
+			w.site.ledger.noted(e, w.lapses > w.endLapses[e.Number])
 		}
 		return e.Number <= o.LastSeen
 	})
+	w.extend(o.LeaseEnd)
 	if len(w.ends) == 0 && o.Wait > 0 && !waited {
 		return worker.HoldReply{}, w.changed
 	}
@@ -303,6 +309,7 @@
 		if r.timer != nil {
 			r.timer.Stop()
 		}
+		w.site.gangs.leave(key)
 		w.site.ledger.gone(w, key)
 	}
 	clear(w.runs)
