A worker is not gone because an older list of machines lacks it

Change: a worker that no machine has is gone only if it was known to live before the list was asked for (capacity.View.Gone, TestNewWorkerIsNotGone).

--- /dev/null
+++ b/internal/coordination/capacity/gone_test.go
@@ -0,0 +1,28 @@
+package capacity
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
+)
+
+// TestNewWorkerIsNotGone has a list of machines from before a worker began: it does not
+// show that the worker has ended.
+func TestNewWorkerIsNotGone(t *testing.T) {
+	v := site(1, 0, 0)
+	v.ListedAt = v.Now.Add(-3 * time.Second)
+	load := &schedule.Load{Hosts: map[worker.ID]schedule.HostLoad{
+		"w-maps-0": {Silent: true, Runs: 1, KnownAgo: 5 * time.Second},
+		"w-new":    {Silent: true, Runs: 1, KnownAgo: 2 * time.Second},
+		"w-old":    {Silent: true, Runs: 1, KnownAgo: 4 * time.Second},
+		"w-idle":   {Silent: true, KnownAgo: 4 * time.Second},
+		"w-talks":  {Runs: 1, KnownAgo: 4 * time.Second},
+	}}
+	if diff := cmp.Diff([]worker.ID{"w-old"}, v.Gone(load)); diff != "" {
+		t.Errorf("gone (-want +got):\n%s", diff)
+	}
+}
--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -96,6 +96,13 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -21,6 +21,9 @@
 	clock   time.Duration
 	clockAt time.Time
 	heardAt time.Time
+	// knownAt is when the host was first known: by its report, or by what an earlier
+	// owner had recorded before this tenure began.
+	knownAt time.Time
 	// leaseSent is the latest lease end sent, on the worker's clock.
 	leaseSent time.Duration
 	// expiry is when everything there has ended if the worker is not heard from.
@@ -46,8 +49,8 @@
 
 func (r *run) key() runKey { return runKey{r.name, r.number} }
 
-func newHost(report worker.Report) *host {
-	return &host{report: report, runs: map[runKey]*run{}, foreign: map[runKey]time.Time{}}
+func newHost(report worker.Report, knownAt time.Time) *host {
+	return &host{report: report, knownAt: knownAt, runs: map[runKey]*run{}, foreign: map[runKey]time.Time{}}
 }
 
 func (h *host) free() worker.Resources { return h.report.Capacity.Minus(h.used) }
--- a/internal/coordination/schedule/load.go
+++ b/internal/coordination/schedule/load.go
@@ -29,6 +29,8 @@
 	Loss int64
 	// Silent: it does not answer.
 	Silent bool
+	// KnownAgo is how long ago it was last known to live.
+	KnownAgo time.Duration
 }
 
 // Load gives the pool's demand.
@@ -79,7 +81,9 @@
 }
 
 func (h *host) load(now time.Time) HostLoad {
-	load := HostLoad{Silent: !h.confirmed, Runs: len(h.runs), Cordoned: h.cordoned, Vacant: h.cordoned && h.vacant()}
+	load := HostLoad{
+		Silent: !h.confirmed, KnownAgo: now.Sub(later(h.knownAt, h.heardAt)), Runs: len(h.runs), Cordoned: h.cordoned, Vacant: h.cordoned && h.vacant(),
+	}
 	for _, r := range h.runs {
 		def := r.task.step.def
 		if def.LongRunning {
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -24,6 +24,8 @@
 	events Events
 
 	mu sync.Mutex
+	// began is when the tenure began.
+	began time.Time
 	// resolvedBy is when everything that an earlier owner started on hosts that
 	// don't answer has ended: it stops acting, and then the longest lease runs out.
 	resolvedBy time.Time
@@ -38,7 +40,7 @@
 // New makes the scheduler of a pool for a tenure that began at now.
 func New(name string, fence worker.Fence, limits Limits, now time.Time, events Events) *Pool {
 	return &Pool{
-		name: name, limits: limits, fence: fence, events: events,
+		name: name, limits: limits, fence: fence, events: events, began: now,
 		resolvedBy: now.Add(limits.MaxUnconfirmed + limits.leaseSpan()),
 		guarded:    true,
 		jobs:       map[job.ID]*entry{}, hosts: map[worker.ID]*host{},
@@ -87,7 +89,7 @@
 func (p *Pool) inherit(e *entry, placed jobs.Placement) {
 	h, ok := p.hosts[placed.Host]
 	if !ok {
-		h = newHost(worker.Report{ID: placed.Host, Pool: p.name})
+		h = newHost(worker.Report{ID: placed.Host, Pool: p.name}, p.began)
 		h.expiry = p.resolvedBy
 		p.hosts[placed.Host] = h
 	}
@@ -174,7 +176,7 @@
 	seen := make(map[worker.ID]struct{}, len(reports))
 	for _, report := range reports {
 		seen[report.ID] = struct{}{}
-		p.setHost(report)
+		p.setHost(report, now)
 	}
 	for id, h := range p.hosts {
 		if _, ok := seen[id]; ok {
@@ -190,10 +192,10 @@
 	}
 }
 
-func (p *Pool) setHost(report worker.Report) {
+func (p *Pool) setHost(report worker.Report, now time.Time) {
 	h, ok := p.hosts[report.ID]
 	if !ok {
-		h = newHost(report)
+		h = newHost(report, now)
 		h.expiry = p.resolvedBy
 		p.hosts[report.ID] = h
 		p.events.Event("host-listed", "host", report.ID, "pool", p.name, "address", report.Address,
--- a/internal/jobhost/loads.go
+++ b/internal/jobhost/loads.go
@@ -36,7 +36,7 @@
 	for id, h := range load.Hosts {
 		m.Hosts = append(m.Hosts, &wire.HostLoad{
 			Id: string(id), Runs: int32(h.Runs), LongRunning: int32(h.LongRunning), //nolint:gosec // Bounded by a host's room.
-			Cordoned: h.Cordoned, Vacant: h.Vacant, LossCoreMs: h.Loss, Silent: h.Silent,
+			Cordoned: h.Cordoned, Vacant: h.Vacant, LossCoreMs: h.Loss, Silent: h.Silent, KnownAgoMs: h.KnownAgo.Milliseconds(),
 		})
 	}
 	return m
@@ -51,7 +51,8 @@
 	}
 	for _, h := range m.GetHosts() {
 		load.Hosts[worker.ID(h.GetId())] = schedule.HostLoad{
-			Runs: int(h.GetRuns()), LongRunning: int(h.GetLongRunning()), Cordoned: h.GetCordoned(), Vacant: h.GetVacant(), Loss: h.GetLossCoreMs(), Silent: h.GetSilent(),
+			Runs: int(h.GetRuns()), LongRunning: int(h.GetLongRunning()), Cordoned: h.GetCordoned(), Vacant: h.GetVacant(),
+			Loss: h.GetLossCoreMs(), Silent: h.GetSilent(), KnownAgo: time.Duration(h.GetKnownAgoMs()) * time.Millisecond,
 		}
 	}
 	return load
