Machines are announced in the tenure's record before an order

Change: an owner writes which machine it is about to order with its epoch; a later owner claims the epoch, reads that, and waits only for those machines. The record has when waves were first seen. All machines of a wave that are under maintenance count against its bound, with those that an earlier owner ordered last. TestMachinesAfterTheirOwnersEnd failed first.

--- a/internal/cmd/serve_jobs.go
+++ b/internal/cmd/serve_jobs.go
@@ -125,16 +125,17 @@
 // hostSettings works the platform's bounds out into those of the schedulers.
 func hostSettings(loaded settings.JobSettings) jobhost.Settings {
 	b := loaded.Bounds
+	ttl := max(groupTTL, loaded.Platform.LeastGroupTTL.Std())
 	return jobhost.Settings{
 		Name: loaded.Name, DataCentre: loaded.DataCentre, PeerAddress: loaded.PeerAddress,
 		Partitions: loaded.Platform.Partitions,
-		GroupTTL:   max(groupTTL, loaded.Platform.LeastGroupTTL.Std()),
+		GroupTTL:   ttl,
 		Capacity: jobhost.Capacity{
 			HolderLease:     b.HolderLease.Std(),
 			OrdersPerSecond: loaded.Platform.MachineOrdersPerSecond, ReadsPerSecond: loaded.Platform.MachineReadsPerSecond,
 			Options: capacity.Options{
 				Headroom: poolHeadroom, FloorHosts: poolFloor, ShrinkAfter: shrinkAfter, WaveShare: waveShare,
-				MoveTime: b.MoveTime.Std(), MaintenanceTime: b.MaintenanceTime.Std(),
+				MoveTime: b.MoveTime.Std(), MaintenanceTime: b.MaintenanceTime.Std(), HandOver: ttl,
 			},
 		},
 		Limits: schedule.Limits{
--- a/internal/coordination/capacity/view.go
+++ b/internal/coordination/capacity/view.go
@@ -55,7 +55,8 @@
 	Lift
 	Move
 	Maintain
-	// Barred is no action: the machine was ordered by an earlier owner.
+	// Barred is no action: the machine was ordered by an earlier owner. It is sent when
+	// this one's tenure began.
 	Barred
 )
 
@@ -86,6 +87,8 @@
 	ShrinkAfter time.Duration
 	// MoveTime and MaintenanceTime are how long a machine is away.
 	MoveTime, MaintenanceTime time.Duration
+	// HandOver is how long after a change of owner the last one's orders may still arrive.
+	HandOver time.Duration
 	// WaveShare is the part of a wave's time in which it should be done.
 	WaveShare float64
 }
--- a/internal/coordination/capacity/waves.go
+++ b/internal/coordination/capacity/waves.go
@@ -13,7 +13,7 @@
 	var actions []Action
 	for n := range view.Waves {
 		w := &view.Waves[n]
-		room := w.MaxDown - view.down(w)
+		room := w.MaxDown - p.down(&view, w)
 		var due []*candidate
 		draining := 0
 		for _, plan := range plans {
@@ -77,13 +77,19 @@
 	return actions
 }
 
-// down counts the machines that are down for a wave, or may be.
-func (v *View) down(w *Wave) int {
+// down counts the machines that are down for a wave, or may be: those that an earlier
+// owner ordered last too, until its orders must have arrived and the list shows them.
+func (p *Planner) down(v *View, w *Wave) int {
 	n := 0
 	for i := range v.Machines {
 		m := &v.Machines[i]
+		if !slices.Contains(w.Machines, m.Name) {
+			continue
+		}
 		o, ordered := v.Ordered[m.Name]
-		if (ordered && o.Action.Kind == Maintain && o.Action.Wave == w.Number) || (w.Begun[m.Name] && m.State == machine.Maintenance) {
+		maintained := ordered && o.Action.Kind == Maintain && o.Action.Wave == w.Number
+		barred := ordered && o.Action.Kind == Barred && v.ListedAt.Sub(o.SentAt) < p.options.HandOver
+		if maintained || barred || m.State == machine.Maintenance {
 			n++
 		}
 	}
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -230,7 +230,7 @@
 			HolderLease: holderLease, OrdersPerSecond: 16, ReadsPerSecond: 16,
 			Options: capacity.Options{
 				Headroom: 1.15, FloorHosts: 2, ShrinkAfter: 1500 * time.Millisecond, WaveShare: 0.45,
-				MoveTime: moveTime, MaintenanceTime: maintenanceTime,
+				MoveTime: moveTime, MaintenanceTime: maintenanceTime, HandOver: groupTTL,
 			},
 		},
 	}
--- a/internal/emulator/site/site_test.go
+++ b/internal/emulator/site/site_test.go
@@ -347,6 +347,34 @@
 	})
 }
 
+// TestMachinesAfterTheirOwnersEnd ends all entry hosts at once: the next owner of the
+// machines orders some as soon as it has the partition, and a wave goes on as it was
+// first seen.
+func TestMachinesAfterTheirOwnersEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := begin(t, 11)
+		time.Sleep(5 * time.Second)
+		for _, h := range r.hosts {
+			r.site.KillHost(h)
+		}
+		if err := r.site.Publish(machine.Wave{Number: 1, Machines: r.site.Machines(), Duration: 30 * time.Second, MaxDown: 3}); err != nil {
+			t.Fatal(err)
+		}
+		for n, h := range r.hosts {
+			again, err := r.site.StartHost(h.Name, h.DataCentre, 1+n)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.hosts[n] = again
+		}
+		time.Sleep(2500 * time.Millisecond)
+		if r.site.Ledger().Maintained == 0 {
+			t.Error("no machine is maintained 2.5 s after the start, with a spare that is due")
+		}
+		r.settle()
+	})
+}
+
 // TestRandom plays troubles of all kinds at random, over a load of all kinds of jobs.
 func TestRandom(t *testing.T) {
 	for n := range *seeds {
--- /dev/null
+++ b/internal/jobhost/fleet_orders.go
@@ -0,0 +1,83 @@
+package jobhost
+
+import (
+	"context"
+	"time"
+
+	"github.com/hornbeammast/hornbeammast/internal/coordination/capacity"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/machine"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
+)
+
+// act carries one action out.
+func (f *fleetOwner) act(ctx context.Context, a capacity.Action) {
+	if a.Kind == capacity.Cordon || a.Kind == capacity.Lift {
+		ok := f.host.cordon(ctx, a.Pool, a.Worker, a.Kind == capacity.Lift)
+		f.host.events.Event("host-"+a.Kind.String(), "machine", a.Machine, "host", a.Worker, "pool", a.Pool, "reason", a.Reason, "wave", a.Wave, "done", ok)
+		return
+	}
+	o := &machineOrder{action: a, sentAt: f.host.now()}
+	f.mu.Lock()
+	f.ordered[a.Machine] = o
+	f.mu.Unlock()
+	f.loops.Go(func() { f.order(ctx, o) })
+}
+
+// order sends an order until it is answered; it takes effect only once.
+func (f *fleetOwner) order(ctx context.Context, o *machineOrder) {
+	for ctx.Err() == nil {
+		// The record comes first; it may have taken longer than the tenure is confirmed for.
+		if !f.announce(ctx, o.action.Machine) || !f.confirmed(f.host.now()) {
+			wait(ctx, fleetInterval)
+			continue
+		}
+		outcome, err := f.send(ctx, o.action)
+		f.noteOrdered(o.action.Machine)
+		f.host.events.Event("machine-ordered", "machine", o.action.Machine, "order", o.action.Kind, "pool", o.action.Pool, "to", o.action.To,
+			"wave", o.action.Wave, "reason", o.action.Reason, "fence", f.token, "outcome", outcome, "error", err)
+		if err == nil && outcome != machine.Limited {
+			f.answered(ctx, o, outcome)
+			return
+		}
+		wait(ctx, retryPause)
+	}
+}
+
+func (f *fleetOwner) send(ctx context.Context, a capacity.Action) (machine.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, machineTimeout)
+	defer cancel()
+	holder := machine.Holder{Name: f.host.settings.Name, Fence: worker.Fence(f.token)}
+	if a.Kind == capacity.Move {
+		return f.host.platform.Machines.Move(ctx, holder, a.Machine, a.To)
+	}
+	return f.host.platform.Machines.Maintain(ctx, holder, a.Machine, a.Wave)
+}
+
+func (f *fleetOwner) answered(ctx context.Context, o *machineOrder, outcome machine.Outcome) {
+	if outcome == machine.Accepted {
+		if o.action.Kind == capacity.Maintain {
+			f.markBegun(o.action.Wave, o.action.Machine)
+			f.record(ctx, o.action)
+		}
+		f.mu.Lock()
+		o.acceptedAt = f.host.now()
+		f.mu.Unlock()
+		return
+	}
+	f.mu.Lock()
+	delete(f.ordered, o.action.Machine)
+	f.listedAt = time.Time{}
+	fenced := outcome == machine.Fenced && !f.fenced
+	f.fenced = f.fenced || fenced
+	f.mu.Unlock()
+	if fenced {
+		f.lost()
+	}
+}
+
+// lost begins a new tenure, since a later owner was seen to have had the machines.
+func (f *fleetOwner) lost() {
+	tenure := keyedlog.Partition{Topic: TopicJobs, Number: fleetPartition}
+	f.host.spawn(func() { f.host.keeper.Reacquire(tenure, f.token) })
+}
--- /dev/null
+++ b/internal/jobhost/fleet_waves.go
@@ -0,0 +1,84 @@
+package jobhost
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/hornbeammast/hornbeammast/internal/coordination/capacity"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
+)
+
+// fill adds machines, waves and orders to a view.
+func (f *fleetOwner) fill(view *capacity.View) {
+	waves := f.host.operators.allWaves()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	view.Machines, view.ListedAt = f.machines, f.listedAt
+	view.Ordered = make(map[string]capacity.Order, len(f.ordered))
+	for name, from := range f.tenure.barred {
+		if view.Now.Before(from) {
+			view.Ordered[name] = capacity.Order{Action: capacity.Action{Kind: capacity.Barred, Machine: name}, SentAt: f.began}
+		}
+	}
+	for name, o := range f.ordered {
+		view.Ordered[name] = capacity.Order{Action: o.action, SentAt: o.sentAt}
+	}
+	for _, w := range waves {
+		state, ok := f.waves[w.Number]
+		if !ok {
+			state = &waveState{seenAt: view.Now}
+			f.waves[w.Number] = state
+			f.tenure.signal()
+		}
+		begun := make(map[string]bool, len(f.begun[w.Number]))
+		for name := range f.begun[w.Number] {
+			begun[name] = true
+		}
+		view.Waves = append(view.Waves, capacity.Wave{Wave: w, SeenAt: state.seenAt, Begun: begun})
+	}
+}
+
+// record keeps for later owners that a machine's maintenance has begun. One that is
+// lost costs a second call, which changes nothing.
+func (f *fleetOwner) record(ctx context.Context, a capacity.Action) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	key := keyWave + strconv.FormatInt(a.Wave, 10) + "/" + a.Machine
+	if err := f.host.platform.Log.Append(ctx, f.partition(), []keyedlog.Record{{Key: key, Value: []byte{1}}}, nil); err != nil {
+		f.host.events.Event("record-delayed", "key", key, "error", err)
+	}
+}
+
+// reportWaves writes how waves stand.
+func (f *fleetOwner) reportWaves(ctx context.Context, waves []capacity.Wave) {
+	for n := range waves {
+		w := &waves[n]
+		done := w.Done(f.machines)
+		state := "running"
+		if done {
+			state = "done"
+		}
+		f.mu.Lock()
+		written := f.waves[w.Number].written
+		f.mu.Unlock()
+		if written == state {
+			continue
+		}
+		if f.writeStatus(ctx, w.Number, done) {
+			f.mu.Lock()
+			f.waves[w.Number].written = state
+			f.mu.Unlock()
+		}
+	}
+}
+
+func (f *fleetOwner) writeStatus(ctx context.Context, number int64, done bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	record, err := f.host.platform.Published.WaveStatus(number, done)
+	if err == nil {
+		err = f.host.platform.Log.Append(ctx, f.host.platform.Published.Status(), []keyedlog.Record{record}, nil)
+	}
+	f.host.events.Event("wave-reported", "wave", number, "done", done, "error", err)
+	return err == nil
+}
--- a/internal/jobhost/recorder.go
+++ b/internal/jobhost/recorder.go
@@ -5,7 +5,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -15,13 +14,6 @@
 	"github.com/hornbeammast/hornbeammast/internal/protocol/verdict"
 )
 
-const (
-	// appendTimeout bounds an append; beyond it the same one is sent again.
-	appendTimeout = 1500 * time.Millisecond
-	// producerName marks the appends of owners.
-	producerName = "owner"
-)
-
 var errTenureOver = errors.New("the tenure is over or not confirmed; nothing is ordered")
 
 // recorder writes what has ended in a partition's pools: one append for all that
@@ -30,7 +22,7 @@
 	partition *partition
 	wake      chan struct{}
 	dropped   chan []job.ID
-	sequence  int64
+	appender  *appender
 
 	mu sync.Mutex
 	// submitted are the records that callers and peers wait for.
@@ -100,7 +92,9 @@
 }
 
 func newRecorder(p *partition) *recorder {
-	return &recorder{partition: p, wake: make(chan struct{}, 1), dropped: make(chan []job.ID, 1)}
+	return &recorder{
+		partition: p, wake: make(chan struct{}, 1), dropped: make(chan []job.ID, 1), appender: newAppender(p.host, p.id, p.token),
+	}
 }
 
 func (r *recorder) signal() {
@@ -220,37 +214,12 @@
 // append writes records until they are certainly there; it gives up when the
 // tenure ends.
 func (r *recorder) append(ctx context.Context, records []keyedlog.Record) bool {
-	host := r.partition.host
-	healthy := true
-	for ctx.Err() == nil {
-		producer := &keyedlog.Producer{Name: producerName, Epoch: r.partition.token, Sequence: r.sequence}
-		call, cancel := context.WithTimeout(ctx, appendTimeout)
-		began := time.Now()
-		err := host.platform.Log.Append(call, r.partition.id, records, producer)
-		cancel()
-		host.metrics.record.observe(time.Since(began), err)
-		if err == nil {
-			r.sequence++
-			return true
-		}
-		if healthy {
-			host.events.Event("record-delayed", "partition", r.partition.id.Number, "records", len(records), "sequence", r.sequence,
-				"verdict", verdict.Of(err).Verdict, "error", err)
-			healthy = false
-		}
-		var sequence *keyedlog.SequenceError
-		switch {
-		case errors.Is(err, keyedlog.ErrFenced):
-			r.partition.lost()
-			<-ctx.Done()
-			return false
-		case errors.As(err, &sequence):
-			r.sequence = sequence.Expected
-		default:
-			wait(ctx, retryPause)
-		}
+	err := r.appender.append(ctx, records)
+	if errors.Is(err, keyedlog.ErrFenced) {
+		r.partition.lost()
+		<-ctx.Done()
 	}
-	return false
+	return err == nil
 }
 
 func dropRecords(ids []job.ID) []keyedlog.Record {
