Hosts that are due for maintenance give up their long-running tasks early

Change: a pool is told what it may use a host for: all, short tasks, nothing. What a wave names is for short tasks from the wave's publication on; its long-running tasks move to hosts on which they can stay, and new ones go there only if no other host has room. One call a pool carries all restrictions.

--- a/internal/coordination/capacity/pool_plan.go
+++ b/internal/coordination/capacity/pool_plan.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/machine"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
@@ -24,10 +25,13 @@
 type candidate struct {
 	*machine.Machine
 	runs, longRunning int
+	use               schedule.Use
 	cordoned, vacant  bool
 	loss              int64
 	due               *Wave
 	ordered           bool
+	// known is set if the pool knows the machine's worker.
+	known bool
 }
 
 // pools works out what each pool has and needs.
@@ -102,7 +106,9 @@
 		return c
 	}
 	h, ok := pool.Load.Hosts[m.Worker]
-	c.runs, c.longRunning, c.cordoned, c.vacant, c.loss = h.Runs, h.LongRunning, h.Cordoned, h.Vacant, h.Loss
+	c.runs, c.longRunning, c.use, c.vacant, c.loss = h.Runs, h.LongRunning, h.Use, h.Vacant, h.Loss
+	c.cordoned = h.Use == schedule.UseNone
+	c.known = ok
 	if !ok {
 		// The pool does not know the worker yet, so nothing runs there.
 		c.vacant = true
--- a/internal/coordination/capacity/view.go
+++ b/internal/coordination/capacity/view.go
@@ -51,7 +51,11 @@
 
 // The actions.
 const (
+	// Cordon keeps new runs from a host.
 	Cordon Kind = iota
+	// Retire moves long-running tasks away from a host that is due for maintenance.
+	Retire
+	// Lift takes either back.
 	Lift
 	Move
 	Maintain
@@ -60,7 +64,7 @@
 	Barred
 )
 
-var kindNames = map[Kind]string{Cordon: "cordon", Lift: "lift", Move: "move", Maintain: "maintain", Barred: "barred"}
+var kindNames = map[Kind]string{Cordon: "cordon", Retire: "retire", Lift: "lift", Move: "move", Maintain: "maintain", Barred: "barred"}
 
 // String gives the name for logs.
 func (k Kind) String() string { return kindNames[k] }
--- a/internal/coordination/capacity/waves.go
+++ b/internal/coordination/capacity/waves.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/machine"
 )
 
@@ -29,6 +30,19 @@
 		}
 		slices.SortFunc(due, compareDue)
 		actions = append(actions, p.waveActions(view, w, due, room, draining, surplusOf(plans))...)
+		actions = retire(actions, due, w)
+	}
+	return actions
+}
+
+// retire moves long-running tasks away from what is due long before its turn, since
+// they may leave only one after the other. What goes now needs no such order.
+func retire(actions []Action, due []*candidate, w *Wave) []Action {
+	for _, c := range due {
+		now := slices.ContainsFunc(actions, func(a Action) bool { return a.Machine == c.Name })
+		if c.known && c.use == schedule.UseAll && !now {
+			actions = append(actions, Action{Kind: Retire, Machine: c.Name, Worker: c.Worker, Pool: c.Pool, Wave: w.Number, Reason: "wave"})
+		}
 	}
 	return actions
 }
--- a/internal/coordination/schedule/dump.go
+++ b/internal/coordination/schedule/dump.go
@@ -25,7 +25,7 @@
 	Listed    bool      `json:"listed"`
 	Confirmed bool      `json:"confirmed"`
 	Draining  bool      `json:"draining"`
-	Cordoned  bool      `json:"cordoned"`
+	Use       string    `json:"use"`
 	Heard     string    `json:"heard-age"`
 	Runs      int       `json:"runs"`
 	FreeCPU   int64     `json:"free-cpu"`
@@ -43,7 +43,7 @@
 	for id, h := range p.hosts {
 		free := h.free()
 		d.Hosts = append(d.Hosts, HostDump{
-			ID: id, Rack: h.report.Rack, Listed: h.listed, Confirmed: h.confirmed, Draining: h.report.Draining, Cordoned: h.cordoned,
+			ID: id, Rack: h.report.Rack, Listed: h.listed, Confirmed: h.confirmed, Draining: h.report.Draining, Use: h.use.String(),
 			Heard: now.Sub(h.heardAt).Round(time.Millisecond).String(), Runs: len(h.runs), FreeCPU: free.CPU, FreeMB: free.MemoryMB,
 		})
 	}
--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -36,7 +36,7 @@
 	foreign   map[runKey]time.Time
 	used      worker.Resources
 	starting  int
-	cordoned  bool
+	use       Use
 	// pausedUntil keeps starts away for a moment.
 	pausedUntil time.Time
 	health      health
@@ -57,13 +57,13 @@
 
 // usable tells whether a task may be started there now.
 func (h *host) usable(now time.Time) bool {
-	return h.listed && h.confirmed && !h.report.Draining && !h.cordoned &&
+	return h.listed && h.confirmed && !h.report.Draining && !h.cordoned() &&
 		!now.Before(h.pausedUntil) && h.starting < maxStartsPerHost && h.health.admits(now, len(h.runs))
 }
 
 // reachable tells whether an order that is ready may still go to the host.
 func (h *host) reachable() bool {
-	return h.listed && h.confirmed && !h.report.Draining && !h.cordoned
+	return h.listed && h.confirmed && !h.report.Draining && !h.cordoned()
 }
 
 // clockNow estimates the worker's clock; it is never ahead of the worker by more
--- a/internal/coordination/schedule/load.go
+++ b/internal/coordination/schedule/load.go
@@ -22,7 +22,7 @@
 type HostLoad struct {
 	Runs        int
 	LongRunning int
-	Cordoned    bool
+	Use         Use
 	// Vacant: cordoned, and nothing runs there nor can.
 	Vacant bool
 	// Loss is the work that ending its runs now would lose, in core-milliseconds.
@@ -82,7 +82,7 @@
 
 func (h *host) load(now time.Time) HostLoad {
 	load := HostLoad{
-		Silent: !h.confirmed, KnownAgo: now.Sub(later(h.knownAt, h.heardAt)), Runs: len(h.runs), Cordoned: h.cordoned, Vacant: h.cordoned && h.vacant(),
+		Silent: !h.confirmed, KnownAgo: now.Sub(later(h.knownAt, h.heardAt)), Runs: len(h.runs), Use: h.use, Vacant: h.cordoned() && h.vacant(),
 	}
 	for _, r := range h.runs {
 		def := r.task.step.def
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -128,28 +128,6 @@
 // checkpoint and the coarse gauge need a part of it.
 const stillTime = 1500 * time.Millisecond
 
-// evacuate moves long-running tasks away from hosts that leave, and others that
-// can go on from a checkpoint and would not end in time.
-func (p *Pool) evacuate(now time.Time) {
-	for _, h := range p.hosts {
-		if !h.report.Draining && !h.cordoned {
-			continue
-		}
-		for _, r := range h.runs {
-			if r.state != on {
-				continue
-			}
-			def := r.task.step.def
-			switch {
-			case def.LongRunning && (h.report.Draining || p.mayMiss(r.task.step, r.task, now)):
-				p.stop(r, "host-leaves")
-			case !def.LongRunning && def.SavesProgress && !def.Gang && now.Sub(r.onAt) > p.limits.CheckpointEvery:
-				p.stop(r, "host-leaves")
-			}
-		}
-	}
-}
-
 // mayMiss tells whether ending a long-running task keeps within what its step may
 // miss at once, others that are away for any cause counted.
 func (p *Pool) mayMiss(s *step, leaving *task, now time.Time) bool {
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -236,23 +236,3 @@
 	}
 	return targets
 }
-
-// Cordon keeps new runs from a host, or lifts that.
-func (p *Pool) Cordon(id worker.ID, lift bool) (vacant, known bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	h, ok := p.hosts[id]
-	if !ok {
-		return false, false
-	}
-	if h.cordoned == lift {
-		p.events.Event("host-cordoned", "host", id, "pool", p.name, "lifted", lift, "runs", len(h.runs))
-	}
-	h.cordoned = !lift
-	return h.cordoned && h.vacant(), true
-}
-
-// vacant tells whether nothing runs on the host, and nothing unknown may.
-func (h *host) vacant() bool {
-	return len(h.runs) == 0 && len(h.foreign) == 0 && h.confirmed
-}
--- a/internal/coordination/schedule/preempt.go
+++ b/internal/coordination/schedule/preempt.go
@@ -36,7 +36,7 @@
 
 // victims lists the runs to stop on a host to make room for one task, or nil.
 func (p *Pool) victims(c candidate, h *host, now time.Time) []*run {
-	if !h.listed || !h.confirmed || h.report.Draining || h.cordoned {
+	if !h.listed || !h.confirmed || h.report.Draining || h.cordoned() {
 		return nil
 	}
 	var able []*run
--- a/internal/coordination/schedule/score.go
+++ b/internal/coordination/schedule/score.go
@@ -7,17 +7,21 @@
 // The weights of a host's score; nearness to data outweighs all but suspicion, and
 // among equals the fuller host is taken, so that others stay free for large tasks.
 const (
-	scoreSuspected = -100
-	scoreAvoid     = -50
-	scoreNear      = 20
-	scoreSameRack  = 10
-	scoreFull      = 1
-	scoreSpread    = -5
+	scoreRestricted = -1000
+	scoreSuspected  = -100
+	scoreAvoid      = -50
+	scoreNear       = 20
+	scoreSameRack   = 10
+	scoreFull       = 1
+	scoreSpread     = -5
 )
 
 func (p *Pool) score(t *task, h *host, now time.Time) float64 {
 	s := t.step
 	score := 0.0
+	if s.def.LongRunning && h.use != UseAll {
+		score += scoreRestricted
+	}
 	if h.health.suspected(now) {
 		score += scoreSuspected
 	}
--- a/internal/jobhost/answers.go
+++ b/internal/jobhost/answers.go
@@ -4,8 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
 
 // catchUpCheck is how often an owner looks whether it has read what it waits for.
@@ -68,10 +70,13 @@
 	return &wire.LoadReply{Pools: a.host.loads()}, nil
 }
 
-// Cordon keeps new work from a host.
-func (a peerAnswers) Cordon(_ context.Context, request *wire.CordonRequest) (*wire.CordonReply, error) {
-	vacant, ok := a.host.cordonHere(request.GetPool(), request.GetHost(), request.GetLift())
-	return &wire.CordonReply{Owner: ok, Vacant: vacant}, nil
+// Restrict sets what hosts may be used for.
+func (a peerAnswers) Restrict(_ context.Context, request *wire.RestrictRequest) (*wire.RestrictReply, error) {
+	hosts := make([]worker.ID, 0, len(request.GetHosts()))
+	for _, id := range request.GetHosts() {
+		hosts = append(hosts, worker.ID(id))
+	}
+	return &wire.RestrictReply{Done: a.host.restrictHere(request.GetPool(), hosts, schedule.Use(request.GetUse()))}, nil
 }
 
 // Gone takes that a worker has ended.
--- a/internal/jobhost/fleet_orders.go
+++ b/internal/jobhost/fleet_orders.go
@@ -5,18 +5,49 @@
 	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/coordination/capacity"
+	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/machine"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
 
+// restriction is one change of what hosts may be used for, by pool.
+type restriction struct {
+	pool string
+	use  schedule.Use
+}
+
+// uses tells what hosts may be used for after an action.
+var uses = map[capacity.Kind]schedule.Use{
+	capacity.Cordon: schedule.UseNone, capacity.Retire: schedule.UseShort, capacity.Lift: schedule.UseAll,
+}
+
+// carryOut does what was planned: restrictions one call a pool, orders at the rate of
+// the service of machines.
+func (f *fleetOwner) carryOut(ctx context.Context, actions []capacity.Action) {
+	restrictions := map[restriction][]worker.ID{}
+	left := f.host.settings.Capacity.ordersAtOnce()
+	for _, a := range actions {
+		if use, ok := uses[a.Kind]; ok {
+			key := restriction{a.Pool, use}
+			restrictions[key] = append(restrictions[key], a.Worker)
+			f.host.events.Event("host-"+a.Kind.String(), "machine", a.Machine, "host", a.Worker, "pool", a.Pool, "reason", a.Reason, "wave", a.Wave)
+			continue
+		}
+		if left--; left >= 0 {
+			// What is left out comes with the next plan, before the rate allows more.
+			f.act(ctx, a)
+		}
+	}
+	for key, hosts := range restrictions {
+		if !f.host.restrict(ctx, key.pool, hosts, key.use) {
+			f.host.events.Event("restrict-failed", "pool", key.pool, "use", key.use, "hosts", len(hosts))
+		}
+	}
+}
+
 // act carries one action out.
 func (f *fleetOwner) act(ctx context.Context, a capacity.Action) {
-	if a.Kind == capacity.Cordon || a.Kind == capacity.Lift {
-		ok := f.host.cordon(ctx, a.Pool, a.Worker, a.Kind == capacity.Lift)
-		f.host.events.Event("host-"+a.Kind.String(), "machine", a.Machine, "host", a.Worker, "pool", a.Pool, "reason", a.Reason, "wave", a.Wave, "done", ok)
-		return
-	}
 	o := &machineOrder{action: a, sentAt: f.host.now()}
 	f.mu.Lock()
 	f.ordered[a.Machine] = o
--- a/internal/jobhost/fleet_owner.go
+++ b/internal/jobhost/fleet_owner.go
@@ -183,16 +183,7 @@
 	f.fill(&view)
 	actions, needs := f.planner.Plan(view)
 	f.noteNeeds(needs)
-	left := f.host.settings.Capacity.ordersAtOnce()
-	for _, action := range actions {
-		if action.Kind == capacity.Move || action.Kind == capacity.Maintain {
-			if left--; left < 0 {
-				// The next plan comes before the rate allows more.
-				continue
-			}
-		}
-		f.act(ctx, action)
-	}
+	f.carryOut(ctx, actions)
 	f.reportWaves(ctx, view.Waves)
 }
 
--- a/internal/jobhost/loads.go
+++ b/internal/jobhost/loads.go
@@ -36,7 +36,7 @@
 	for id, h := range load.Hosts {
 		m.Hosts = append(m.Hosts, &wire.HostLoad{
 			Id: string(id), Runs: int32(h.Runs), LongRunning: int32(h.LongRunning), //nolint:gosec // Bounded by a host's room.
-			Cordoned: h.Cordoned, Vacant: h.Vacant, LossCoreMs: h.Loss, Silent: h.Silent, KnownAgoMs: h.KnownAgo.Milliseconds(),
+			Use: wire.HostUse(h.Use), Vacant: h.Vacant, LossCoreMs: h.Loss, Silent: h.Silent, KnownAgoMs: h.KnownAgo.Milliseconds(),
 		})
 	}
 	return m
@@ -51,7 +51,7 @@
 	}
 	for _, h := range m.GetHosts() {
 		load.Hosts[worker.ID(h.GetId())] = schedule.HostLoad{
-			Runs: int(h.GetRuns()), LongRunning: int(h.GetLongRunning()), Cordoned: h.GetCordoned(), Vacant: h.GetVacant(),
+			Runs: int(h.GetRuns()), LongRunning: int(h.GetLongRunning()), Use: schedule.Use(h.GetUse()), Vacant: h.GetVacant(),
 			Loss: h.GetLossCoreMs(), Silent: h.GetSilent(), KnownAgo: time.Duration(h.GetKnownAgoMs()) * time.Millisecond,
 		}
 	}
@@ -82,29 +82,32 @@
 // loadsTimeout bounds the asking of all owners.
 const loadsTimeout = time.Second
 
-// cordonHere keeps new work from a host of a pool that is owned here.
-func (h *JobHost) cordonHere(pool, id string, lift bool) (vacant, ok bool) {
+// restrictHere sets what hosts of a pool that is owned here may be used for.
+func (h *JobHost) restrictHere(pool string, hosts []worker.ID, use schedule.Use) bool {
 	_, r, ok := h.owned(pool)
 	if !ok {
-		return false, false
+		return false
 	}
-	vacant, ok = r.pool.Cordon(worker.ID(id), lift)
+	ok = r.pool.Restrict(hosts, use)
 	r.signal()
-	return vacant, ok
+	return ok
 }
 
-// cordon asks the owner of a pool to keep new work from a host.
-func (h *JobHost) cordon(ctx context.Context, pool string, id worker.ID, lift bool) bool {
+// restrict tells the owner of a pool what hosts may be used for.
+func (h *JobHost) restrict(ctx context.Context, pool string, hosts []worker.ID, use schedule.Use) bool {
 	if _, _, ok := h.owned(pool); ok {
-		_, ok := h.cordonHere(pool, string(id), lift)
-		return ok
+		return h.restrictHere(pool, hosts, use)
 	}
 	address, ok := h.directory.ownerOf(ctx, pool)
 	if !ok {
 		return false
 	}
-	reply, err := h.peers.Cordon(ctx, address, &wire.CordonRequest{Pool: pool, Host: string(id), Lift: lift})
-	return err == nil && reply.GetOwner()
+	request := &wire.RestrictRequest{Pool: pool, Use: wire.HostUse(use)} //nolint:gosec // One of three.
+	for _, id := range hosts {
+		request.Hosts = append(request.Hosts, string(id))
+	}
+	reply, err := h.peers.Restrict(ctx, address, request)
+	return err == nil && reply.GetDone()
 }
 
 // goneHere takes that a worker of a pool that is owned here has ended.
--- a/internal/transport/peer/job_client.go
+++ b/internal/transport/peer/job_client.go
@@ -70,9 +70,9 @@
 	return callJob(ctx, c, address, wire.DRPCJobPeerClient.Load, &wire.LoadRequest{})
 }
 
-// Cordon asks the owner of a pool to keep new work from a host.
-func (c *JobClient) Cordon(ctx context.Context, address netip.AddrPort, request *wire.CordonRequest) (*wire.CordonReply, error) {
-	return callJob(ctx, c, address, wire.DRPCJobPeerClient.Cordon, request)
+// Restrict tells the owner of a pool what hosts may be used for.
+func (c *JobClient) Restrict(ctx context.Context, address netip.AddrPort, request *wire.RestrictRequest) (*wire.RestrictReply, error) {
+	return callJob(ctx, c, address, wire.DRPCJobPeerClient.Restrict, request)
 }
 
 // Gone tells the owner of a pool that a worker has ended.
