Pools hold no host in reserve, look ahead more calmly, and keep theirs in a wave

Change: no host in reserve but one while long-running tasks wait to leave hosts that are due; the trend weighs the newest rise by a fifth; hosts with long-running tasks are given up after three times the usual time, and not while some wait to leave; short tasks that must not share a host count for two rounds.

--- a/internal/coordination/capacity/moves.go
+++ b/internal/coordination/capacity/moves.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/protocol/machine"
 )
@@ -87,7 +88,9 @@
 func (p *Planner) giveUp(view View, plan *poolPlan, plans, short []*poolPlan, taken map[string]bool) []Action {
 	var actions []Action
 	surplus := plan.serving() - plan.need
-	patient := p.patient(view, plan, surplus) && len(short) == 0
+	since := p.surplusFor(view, plan, surplus)
+	inWave := plan.dueTasks()
+	patient := since < p.options.ShrinkAfter && len(short) == 0
 	for _, c := range plan.machines {
 		if c.State != machine.Up || c.ordered || taken[c.Name] {
 			continue
@@ -96,7 +99,7 @@
 			actions = append(actions, moveOn(c, plan, plans, short, taken)...)
 			continue
 		}
-		if surplus <= 0 || patient || (c.longRunning > 0 && surplus < 2) {
+		if surplus <= 0 || patient || (c.longRunning > 0 && (inWave || since < lastingPatience*p.options.ShrinkAfter)) {
 			continue
 		}
 		surplus--
@@ -106,18 +109,23 @@
 	return actions
 }
 
-// patient tells whether a pool has not had too many hosts for long.
-func (p *Planner) patient(view View, plan *poolPlan, surplus int) bool {
+// lastingPatience times the usual time is how long a host with long-running tasks must be
+// too much before it is given up: they are away for a while, and may leave only one after
+// the other. In a wave none is given up, since others wait to leave.
+const lastingPatience = 3
+
+// surplusFor tells for how long a pool has had too many hosts.
+func (p *Planner) surplusFor(view View, plan *poolPlan, surplus int) time.Duration {
 	if surplus <= 0 {
 		delete(p.surplusSince, plan.Name)
-		return true
+		return 0
 	}
 	since, ok := p.surplusSince[plan.Name]
 	if !ok {
 		since = view.Now
 		p.surplusSince[plan.Name] = since
 	}
-	return view.Now.Sub(since) < p.options.ShrinkAfter
+	return view.Now.Sub(since)
 }
 
 // moveOn moves a cordoned host that is vacant; one that is due for maintenance has
--- a/internal/coordination/capacity/plan_test.go
+++ b/internal/coordination/capacity/plan_test.go
@@ -184,3 +184,30 @@
 	}
 	wantActions(t, actions, "cordon maps-0", "cordon maps-1", "cordon maps-2")
 }
+
+// TestLastingHostsStayInAWave has a pool with a host too many, whose long-running tasks
+// would take the turn of those that wait to leave a host that is due.
+func TestLastingHostsStayInAWave(t *testing.T) {
+	v := site(6, 2, 2)
+	v.Pools[0].Load.SpreadHosts = 3
+	for _, name := range []string{"maps-0", "maps-1", "maps-2", "maps-3", "maps-4", "maps-5"} {
+		v.set("maps", name, schedule.HostLoad{LongRunning: 1, Runs: 1})
+	}
+	p := NewPlanner(options)
+	p.Plan(v)
+	v.Now = epoch.Add(lastingPatience * options.ShrinkAfter)
+	actions, needs := p.Plan(v)
+	wantActions(t, actions, "cordon maps-0", "cordon maps-1", "cordon maps-2")
+	if needs[0].Need != 3 {
+		t.Errorf("need %d; want 3", needs[0].Need)
+	}
+	v.set("maps", "maps-0", schedule.HostLoad{LongRunning: 1, Runs: 1, Use: schedule.UseShort})
+	v.Waves = []Wave{{
+		Wave: machine.Wave{Number: 1, Machines: []string{"maps-0"}, Duration: time.Hour, MaxDown: 0}, SeenAt: v.Now, Begun: map[string]bool{},
+	}}
+	actions, needs = p.Plan(v)
+	wantActions(t, actions)
+	if needs[0].Need != 4 {
+		t.Errorf("need %d in a wave; want 4, one host for the tasks that leave", needs[0].Need)
+	}
+}
--- a/internal/coordination/capacity/pool_plan.go
+++ b/internal/coordination/capacity/pool_plan.go
@@ -150,11 +150,18 @@
 		return int(math.Ceil(p.options.Headroom * max(ratio(wanted.CPU, size.CPU/n), ratio(wanted.MemoryMB, size.MemoryMB/n))))
 	}
 	need := max(p.options.FloorHosts, hosts(p.expected(plan.Name, plan.Load.Wanted, now)))
-	if plan.Load.SpreadHosts > 0 {
-		// One more, so that a host may fail or leave.
-		need = max(need, plan.Load.SpreadHosts+1, hosts(plan.Load.LongRunning)+1)
+	// A host that fails is replaced when that happens; those that are due for maintenance
+	// need one more, to which their long-running tasks can go.
+	lasting := max(plan.Load.SpreadHosts, hosts(plan.Load.LongRunning))
+	if plan.dueTasks() {
+		lasting++
 	}
-	return need
+	return max(need, lasting)
+}
+
+// dueTasks tells whether long-running tasks wait to leave hosts that are due for maintenance.
+func (plan *poolPlan) dueTasks() bool {
+	return slices.ContainsFunc(plan.machines, func(c *candidate) bool { return c.due != nil && c.longRunning > 0 })
 }
 
 func ratio(wanted, size int64) float64 {
--- a/internal/coordination/capacity/trend.go
+++ b/internal/coordination/capacity/trend.go
@@ -8,7 +8,7 @@
 
 const (
 	// trendWeight is the weight of the newest rise in the running mean.
-	trendWeight = 0.5
+	trendWeight = 0.2
 	// trendMost bounds what is expected, as a multiple of what is wanted now.
 	trendMost = 2.0
 	// startUp is how long a machine that has moved takes until its worker gets tasks.
--- a/internal/coordination/schedule/load.go
+++ b/internal/coordination/schedule/load.go
@@ -74,12 +74,26 @@
 				load.LongRunning = load.LongRunning.Plus(needs)
 			}
 		}
-		if s.def.MaxPerHost > 0 {
-			load.SpreadHosts = max(load.SpreadHosts, (state.Open(number)+s.def.MaxPerHost-1)/s.def.MaxPerHost)
-		}
+		load.SpreadHosts = max(load.SpreadHosts, s.spread(state.Open(number)))
+	}
+}
+
+// spread is how many hosts a step with so many open tasks should have. Long-running ones
+// need them all at once, others may run in rounds.
+func (s *step) spread(open int) int {
+	if s.def.MaxPerHost == 0 {
+		return 0
+	}
+	most := s.def.MaxPerHost
+	if !s.def.LongRunning && !s.def.Gang {
+		most *= spreadRounds
 	}
+	return (open + most - 1) / most
 }
 
+// spreadRounds is in how many rounds short tasks that must not share a host may run.
+const spreadRounds = 2
+
 func (h *host) load(now time.Time) HostLoad {
 	load := HostLoad{
 		Silent: !h.confirmed, KnownAgo: now.Sub(later(h.knownAt, h.heardAt)), Runs: len(h.runs), Use: h.use, Vacant: h.cordoned() && h.vacant(),
