--- /dev/null
+++ b/internal/jobhost/appender_test.go
@@ -0,0 +1,79 @@
+package jobhost
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/hornbeammast/hornbeammast/internal/coordination/owner"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/verdict"
+)
+
+// lossyLog takes appends and leaves the first ones without an answer.
+type lossyLog struct {
+	Log
+	lose      int
+	fenced    bool
+	sequences []int64
+}
+
+func (l *lossyLog) Append(ctx context.Context, _ keyedlog.Partition, _ []keyedlog.Record, producer *keyedlog.Producer) error {
+	l.sequences = append(l.sequences, producer.Sequence)
+	if l.fenced {
+		return keyedlog.ErrFenced
+	}
+	if l.lose > 0 {
+		l.lose--
+		<-ctx.Done()
+		return verdict.Doubt(verdict.CauseUpstreamSilent, "no answer")
+	}
+	time.Sleep(4 * time.Millisecond)
+	return nil
+}
+
+type noEvents struct{}
+
+func (noEvents) Event(string, ...any) {}
+
+func newTestAppender(log Log) *appender {
+	h := &JobHost{platform: Platform{Log: log}, metrics: newMetrics(), events: noEvents{}}
+	h.keeper = owner.New(nil, nil, noEvents{}, time.Now, keyedlog.JoinRequest{})
+	return newAppender(h, keyedlog.Partition{Topic: TopicJobs}, 1)
+}
+
+// TestLostAnswerHoldsUpLittle loses one answer, then two: the same append is sent again
+// soon, and the next one follows it.
+func TestLostAnswerHoldsUpLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &lossyLog{lose: 1}
+		a := newTestAppender(log)
+		for _, most := range []time.Duration{350 * time.Millisecond, 10 * time.Millisecond, 800 * time.Millisecond} {
+			began := time.Now()
+			if err := a.append(t.Context(), nil); err != nil {
+				t.Fatal(err)
+			}
+			if took := time.Since(began); took > most {
+				t.Errorf("an append took %s; want at most %s", took, most)
+			}
+			if most < appendTimeoutLeast {
+				log.lose = 2
+			}
+		}
+		if diff := cmp.Diff([]int64{0, 0, 1, 2, 2, 2}, log.sequences); diff != "" {
+			t.Errorf("sequence numbers (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestFencedAppend ends at once when a later owner has written.
+func TestFencedAppend(t *testing.T) {
+	a := newTestAppender(&lossyLog{fenced: true})
+	if err := a.append(t.Context(), nil); !errors.Is(err, keyedlog.ErrFenced) {
+		t.Errorf("error %v; want %v", err, keyedlog.ErrFenced)
+	}
+}
