A machine is ordered only by what is known now; long-running tasks leave for a host

By the code: an order that waited for its record while the log was slow, or was sent again, was not checked again, though a new owner of the pool may have started tasks on the host meanwhile; a long-running task was stopped on a host to be left though no other host had room for it. Change: an order older than 0.4 s is sent only if the pool's load allows it now; a long-running task stays until there is a host for it. Two faults of the emulator's end and of a closed host that acquired a partition are mended.

--- a/internal/coordination/capacity/view.go
+++ b/internal/coordination/capacity/view.go
@@ -81,6 +81,16 @@
 	Reason string
 }
 
+// Allowed tells whether a pool's load still allows a move or maintenance: nothing runs on
+// the host, or for maintenance nothing that has to move away first.
+func (a *Action) Allowed(load *schedule.Load) bool {
+	if load == nil {
+		return false
+	}
+	h, ok := load.Hosts[a.Worker]
+	return !ok || h.Vacant || (a.Kind == Maintain && h.Use == schedule.UseNone && h.LongRunning == 0)
+}
+
 // Options are the planner's figures.
 type Options struct {
 	// Headroom is the share of a pool's demand that it gets beyond it.
--- a/internal/coordination/schedule/cordon.go
+++ b/internal/coordination/schedule/cordon.go
@@ -66,20 +66,20 @@
 	}
 }
 
-// movesAway tells whether a run should leave its host now.
+// movesAway tells whether a run should leave its host now. A long-running task stays
+// until there is a host for it, since it would not run at all meanwhile.
 func (p *Pool) movesAway(r *run, h *host, now time.Time) bool {
 	def := r.task.step.def
 	switch {
 	case !def.LongRunning:
 		return (h.report.Draining || h.cordoned()) && def.SavesProgress && !def.Gang && now.Sub(r.onAt) > p.limits.CheckpointEvery
-	case h.report.Draining:
-		return true
-	case !p.mayMiss(r.task.step, r.task, now):
+	case !h.report.Draining && !p.mayMiss(r.task.step, r.task, now):
 		return false
-	case h.cordoned():
-		return true
 	}
-	// There is time; it waits for a host on which it can stay.
 	to := p.bestHost(r.task, now)
-	return to != nil && to.use == UseAll
+	if to == nil || to == h {
+		return false
+	}
+	// With time left, it waits for one on which it can stay.
+	return to.use == UseAll || h.report.Draining || h.cordoned()
 }
--- a/internal/coordination/schedule/schedule_test.go
+++ b/internal/coordination/schedule/schedule_test.go
@@ -362,6 +362,28 @@
 	}
 }
 
+// TestLongRunningStaysUntilThereIsAHost cordons the only host that may run a task: it
+// runs on until another host is there.
+func TestLongRunningStaysUntilThereIsAHost(t *testing.T) {
+	b := newBench(t, "h1")
+	lasting := like(1, 1000)
+	lasting.LongRunning = true
+	b.add(idA, lasting)
+	starts, _ := b.plan()
+	b.accept(starts...)
+	b.pass(10 * time.Second)
+	b.heldRunning("h1", 1, []worker.Running{{Task: starts[0].Order.Task, Run: starts[0].Order.Run, Percent: 100}})
+	b.pool.Restrict([]worker.ID{"h1"}, UseNone)
+	if _, orders := b.plan(); len(orders.Stops) != 0 {
+		t.Error("the task was stopped with nowhere to go")
+	}
+	b.list("h1", "h2")
+	b.held("h2", 1)
+	if _, orders := b.plan(); len(orders.Stops) != 1 {
+		t.Errorf("%d stops; want 1 once there is a host", len(orders.Stops))
+	}
+}
+
 func TestPreemption(t *testing.T) {
 	b := newBench(t, "h1")
 	b.pool.AddJob(jobs.New(&job.Job{
--- a/internal/emulator/site/ledger.go
+++ b/internal/emulator/site/ledger.go
@@ -46,6 +46,9 @@
 type taskHistory struct {
 	// running are the live runs and the workers that have them.
 	running map[runKey]worker.ID
+	// downAt is when the last run ended; sentAway is set if an order of ours ended it.
+	downAt   time.Time
+	sentAway bool
 	// done is set once a run has ended well, noted once its worker may forget that.
 	done, noted bool
 	// doneRuns are the runs that ended well; early are starts after some of these were
--- a/internal/emulator/site/ledger_tasks.go
+++ b/internal/emulator/site/ledger_tasks.go
@@ -35,6 +35,7 @@
 	}
 	l.checkOrder(o, s, truth)
 	h.running[runKey{o.Task, o.Run}] = w.id
+	h.sentAway = false
 	l.checkSpread(w, o.Task, truth)
 }
 
@@ -89,14 +90,12 @@
 	}
 }
 
-func (l *Ledger) stopping(*Worker, runKey) {}
-
 func (l *Ledger) ended(_ *Worker, key runKey, how worker.How) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.Ends++
 	h := l.history(key.task)
-	delete(h.running, key)
+	h.leave(key)
 	switch how {
 	case worker.HowDone:
 		h.done = true
@@ -122,7 +121,7 @@
 func (l *Ledger) gone(_ *Worker, key runKey) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.history(key.task).running, key)
+	l.history(key.task).leave(key)
 }
 
 // noted takes that a worker may forget an end. One whose worker's lease ran out
--- a/internal/emulator/site/machines.go
+++ b/internal/emulator/site/machines.go
@@ -85,6 +85,7 @@
 			return machine.Busy
 		}
 		a.site.ledger.Moves++
+		m.sentAway("a move")
 		a.site.takeDown(m, machine.Moving, pool, moveTime)
 		return machine.Accepted
 	})
@@ -113,6 +114,7 @@
 		}
 		m.maintained[wave] = true
 		a.site.ledger.Maintained++
+		m.sentAway("maintenance")
 		a.site.takeDown(m, machine.Maintenance, m.pool, maintenanceTime)
 		return machine.Accepted
 	})
@@ -136,6 +138,13 @@
 	return carry(m), nil
 }
 
+// sentAway checks what an order ends on the machine.
+func (m *simMachine) sentAway(order string) {
+	if m.worker != nil {
+		m.worker.sentAway(order)
+	}
+}
+
 // takeDown ends the machine's worker and starts another one later; the site's lock is held.
 func (s *Site) takeDown(m *simMachine, state machine.State, pool string, away time.Duration) {
 	old := m.worker
--- a/internal/emulator/site/site_test.go
+++ b/internal/emulator/site/site_test.go
@@ -387,9 +387,14 @@
 
 func playRandom(t *testing.T, seed uint64) {
 	r := begin(t, seed)
-	r.submit("serving", []job.Step{{
-		Tasks: 4, Needs: worker.Resources{CPU: 2000, MemoryMB: 4000}, LongRunning: true, MaxPerHost: 1, MaxUnavailable: 1,
-	}}, nil)
+	for _, most := range []int{1, 2} {
+		r.submit("serving", []job.Step{{
+			Tasks: 4, Needs: worker.Resources{CPU: 2000, MemoryMB: 4000}, LongRunning: true, MaxPerHost: most, MaxUnavailable: 1,
+		}}, nil)
+	}
+	if err := r.site.Publish(machine.Wave{Number: 1, Machines: r.site.Machines(), Duration: 40 * time.Second, MaxDown: 3}); err != nil {
+		t.Fatal(err)
+	}
 	end := time.Now().Add(40 * time.Second)
 	r.wait.Go(func() {
 		for time.Now().Before(end) {
--- a/internal/emulator/site/worker.go
+++ b/internal/emulator/site/worker.go
@@ -105,6 +105,9 @@
 	reply := func(r worker.Refusal) worker.StartReply { return worker.StartReply{Refusal: r, Clock: w.clock()} }
 	key := runKey{o.Task, o.Run}
 	switch {
+	case w.dead:
+		// It ended while the order was on its way.
+		return reply(worker.RefusedLate)
 	case o.Fence < w.fence:
 		return reply(worker.RefusedFence)
 	case w.runs[key] != nil:
@@ -259,7 +262,7 @@
 		return true
 	}
 	r.stopping = true
-	w.site.ledger.stopping(w, r.key)
+	w.site.ledger.sentAway(w, r.key, "a stop")
 	time.AfterFunc(stopTime, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
--- a/internal/jobhost/fleet_orders.go
+++ b/internal/jobhost/fleet_orders.go
@@ -55,6 +55,15 @@
 	f.loops.Go(func() { f.order(ctx, o) })
 }
 
+const (
+	// orderFresh is how old the loads may be by which an order was decided or is
+	// confirmed: a plan and a record's usual time.
+	orderFresh = 400 * time.Millisecond
+	// orderLate is how long after it was sent an order without an answer may still be
+	// carried out, from the contract of the service of machines.
+	orderLate = 12 * time.Second
+)
+
 // order sends an order until it is answered; it takes effect only once.
 func (f *fleetOwner) order(ctx context.Context, o *machineOrder) {
 	for ctx.Err() == nil {
@@ -63,6 +72,15 @@
 			wait(ctx, fleetInterval)
 			continue
 		}
+		if now := f.host.now(); !f.holds(o, now) {
+			if o.lastSent.IsZero() || now.Sub(o.lastSent) > orderLate {
+				f.drop(o)
+				return
+			}
+			wait(ctx, fleetInterval)
+			continue
+		}
+		o.lastSent = f.host.now()
 		outcome, err := f.send(ctx, o.action)
 		f.noteOrdered(o.action.Machine)
 		f.host.events.Event("machine-ordered", "machine", o.action.Machine, "order", o.action.Kind, "pool", o.action.Pool, "to", o.action.To,
@@ -75,6 +93,33 @@
 	}
 }
 
+// holds tells whether an order may still be sent: it was decided just now, or what is
+// known of the pool now allows it as well.
+func (f *fleetOwner) holds(o *machineOrder, now time.Time) bool {
+	if now.Sub(o.sentAt) <= orderFresh {
+		return true
+	}
+	config := f.host.config()
+	for n := range config.Pools {
+		if config.Pools[n].Name == o.action.Pool && config.Pools[n].Spare {
+			return true
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Sub(f.loadedAt) <= orderFresh && o.action.Allowed(f.loads[o.action.Pool])
+}
+
+// drop takes an order back that has not been sent, or can't be carried out any more.
+func (f *fleetOwner) drop(o *machineOrder) {
+	f.host.events.Event("order-dropped", "machine", o.action.Machine, "order", o.action.Kind, "pool", o.action.Pool,
+		"age", f.host.now().Sub(o.sentAt), "sent", !o.lastSent.IsZero())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.ordered, o.action.Machine)
+	f.listedAt = time.Time{}
+}
+
 func (f *fleetOwner) send(ctx context.Context, a capacity.Action) (machine.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, machineTimeout)
 	defer cancel()
--- a/internal/jobhost/fleet_owner.go
+++ b/internal/jobhost/fleet_owner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/coordination/capacity"
+	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/machine"
 )
@@ -64,6 +65,9 @@
 	needs    map[string]capacity.Need
 	machines []machine.Machine
 	listedAt time.Time
+	// loads are the pools' loads by which the last plan was made.
+	loads    map[string]*schedule.Load
+	loadedAt time.Time
 	fenced   bool
 	tenure   tenureRecord
 }
@@ -71,7 +75,8 @@
 // machineOrder is an order under way.
 type machineOrder struct {
 	action capacity.Action
-	sentAt time.Time
+	// sentAt is when it was decided, lastSent when it was last sent.
+	sentAt, lastSent time.Time
 	// acceptedAt is zero until the order is accepted, which may take many tries.
 	acceptedAt time.Time
 }
@@ -176,6 +181,7 @@
 	loads := f.host.allLoads(ctx)
 	f.tellGone(ctx, loads)
 	view := capacity.View{Now: f.host.now()}
+	f.noteLoads(loads, view.Now)
 	for n := range config.Pools {
 		pool := &config.Pools[n]
 		view.Pools = append(view.Pools, capacity.Pool{Name: pool.Name, Spare: pool.Spare, Load: loads[pool.Name]})
@@ -187,6 +193,12 @@
 	f.reportWaves(ctx, view.Waves)
 }
 
+func (f *fleetOwner) noteLoads(loads map[string]*schedule.Load, at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loads, f.loadedAt = loads, at
+}
+
 func (f *fleetOwner) listed() []machine.Machine {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/jobhost/job_host.go
+++ b/internal/jobhost/job_host.go
@@ -211,6 +211,9 @@
 func (h *JobHost) Acquire(id keyedlog.Partition, token int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.closed {
+		return
+	}
 	h.partitions[id] = startPartition(h, id, token)
 	h.followHosts()
 	if id.Number == fleetPartition {
