Machines that an earlier owner ordered last serve their pool

Change: only machines with an order of this owner count as leaving. TestBarredMachinesServe failed first. Also: hornbeammast explain ID FILE ... shows from the logs what became of a job, with the events of its hosts, its pool and of tenures around it; it showed this fault.

--- a/internal/cmd/main.go
+++ b/internal/cmd/main.go
@@ -36,6 +36,7 @@
 	Halt    haltCmd    `cmd:"" help:"Stop or resume the maintenance of a data centre."`
 	Plan    planCmd    `cmd:"" help:"Show what the planner would do next, and why."`
 	Job     jobCmd     `cmd:"" help:"Submit, show and cancel jobs."`
+	Explain explainCmd `cmd:"" help:"Show from logs what became of a job, and what happened around it."`
 	Dump    dumpCmd    `cmd:"" help:"Show the whole state of an entry host."`
 	Check   checkCmd   `cmd:"" help:"Check settings or a configuration offline."`
 	Restore restoreCmd `cmd:"" help:"Accept that no entry host holds a configuration any more."`
--- a/internal/coordination/capacity/plan_test.go
+++ b/internal/coordination/capacity/plan_test.go
@@ -211,3 +211,18 @@
 		t.Errorf("need %d in a wave; want 4, one host for the tasks that leave", needs[0].Need)
 	}
 }
+
+// TestBarredMachinesServe has machines that an earlier owner ordered last: they can't be
+// ordered, and serve their pool.
+func TestBarredMachinesServe(t *testing.T) {
+	v := site(4, 2, 4)
+	v.Pools[0].Load.Wanted.CPU = 40000
+	for _, name := range []string{"maps-0", "maps-1", "maps-2"} {
+		v.Ordered[name] = Order{Action: Action{Kind: Barred, Machine: name}, SentAt: epoch}
+	}
+	actions, needs := NewPlanner(options).Plan(v)
+	wantActions(t, actions)
+	if needs[0].Serving != 4 {
+		t.Errorf("%d machines serve; want 4", needs[0].Serving)
+	}
+}
--- a/internal/coordination/capacity/pool_plan.go
+++ b/internal/coordination/capacity/pool_plan.go
@@ -29,7 +29,9 @@
 	cordoned, vacant  bool
 	loss              int64
 	due               *Wave
-	ordered           bool
+	// ordered is set while the machine must not be ordered, leaving if an order of ours
+	// takes it away.
+	ordered, leaving bool
 	// known is set if the pool knows the machine's worker.
 	known bool
 }
@@ -91,7 +93,9 @@
 
 func (v *View) candidate(m *machine.Machine, pool *Pool) *candidate {
 	c := &candidate{Machine: m}
-	_, c.ordered = v.Ordered[m.Name]
+	var o Order
+	o, c.ordered = v.Ordered[m.Name]
+	c.leaving = c.ordered && o.Action.Kind != Barred
 	for n := range v.Waves {
 		w := &v.Waves[n]
 		if slices.Contains(w.Machines, m.Name) && !w.Begun[m.Name] {
@@ -175,7 +179,7 @@
 func (plan *poolPlan) serving() int {
 	n := plan.coming
 	for _, c := range plan.machines {
-		if c.State == machine.Down || (c.ordered && c.State == machine.Up) || (c.cordoned && !plan.Spare) {
+		if c.State == machine.Down || (c.leaving && c.State == machine.Up) || (c.cordoned && !plan.Spare) {
 			continue
 		}
 		n++
