--- a/internal/cmd/cmd_explain.go
+++ b/internal/cmd/cmd_explain.go
@@ -50,7 +50,7 @@
 	for n := range context {
 		context[n].Context = true
 	}
-	story := append(own, context...)
+	story := slices.Concat(own, context)
 	slices.SortStableFunc(story, byTime)
 	if k.Output == "json" {
 		return printJSON(c, story)
--- a/internal/cmd/cmd_explain_test.go
+++ b/internal/cmd/cmd_explain_test.go
@@ -25,7 +25,7 @@
 					t.Fatal(err)
 				}
 			}
-			want, err := os.ReadFile(path) //nolint:gosec // One of two.
+			want, err := os.ReadFile(path)
 			if err != nil {
 				t.Fatal(err)
 			}
