--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -202,6 +202,13 @@
 	return nil
 }
 
+// Maintained counts the machines that were taken down for maintenance.
+func (s *Site) Maintained() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.Maintained
+}
+
 // Machines lists the names of the machines.
 func (s *Site) Machines() []string {
 	s.mu.Lock()
--- a/internal/jobhost/fleet_orders.go
+++ b/internal/jobhost/fleet_orders.go
@@ -116,6 +116,12 @@
 		"age", f.host.now().Sub(o.sentAt), "sent", !o.lastSent.IsZero())
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.forget(o)
+}
+
+// forget ends an order without an effect; the next plan begins with a new list. The lock
+// is held.
+func (f *fleetOwner) forget(o *machineOrder) {
 	delete(f.ordered, o.action.Machine)
 	f.listedAt = time.Time{}
 }
@@ -142,8 +148,7 @@
 		return
 	}
 	f.mu.Lock()
-	delete(f.ordered, o.action.Machine)
-	f.listedAt = time.Time{}
+	f.forget(o)
 	fenced := outcome == machine.Fenced && !f.fenced
 	f.fenced = f.fenced || fenced
 	f.mu.Unlock()
--- a/internal/jobhost/fleet_tenure.go
+++ b/internal/jobhost/fleet_tenure.go
@@ -78,15 +78,12 @@
 	}
 	for _, w := range last.GetWaves() {
 		seen := time.UnixMilli(w.GetSeenMs())
-		f.waves[w.GetNumber()] = &waveState{seenAt: earlier(seen, now)}
-	}
-}
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
+		if seen.After(now) {
+			// The clocks of two entry hosts differ.
+			seen = now
+		}
+		f.waves[w.GetNumber()] = &waveState{seenAt: seen}
 	}
-	return b
 }
 
 // barTime is how long a machine waits after an earlier owner's order: two holders must
