--- a/internal/coordination/schedule/cordon_test.go
+++ b/internal/coordination/schedule/cordon_test.go
@@ -7,11 +7,10 @@
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
 
-func TestLongRunningLeavesOneAtATime(t *testing.T) {
-	b := newBench(t, "h1", "h2", "h3")
-	lasting := like(2, 1000)
-	lasting.LongRunning, lasting.MaxPerHost, lasting.MaxUnavailable = true, 1, 1
-	b.add(idA, lasting)
+// startLasting starts the tasks that wait and lets them work for longer than the notice
+// time, with the hosts' lists.
+func (b *bench) startLasting(hosts ...worker.ID) []Start {
+	b.Helper()
 	starts, _ := b.plan()
 	b.accept(starts...)
 	running := map[worker.ID][]worker.Running{}
@@ -20,10 +19,19 @@
 	}
 	for range 16 {
 		b.pass(500 * time.Millisecond)
-		for _, id := range []worker.ID{"h1", "h2", "h3"} {
+		for _, id := range hosts {
 			b.heldRunning(id, 1, running[id])
 		}
 	}
+	return starts
+}
+
+func TestLongRunningLeavesOneAtATime(t *testing.T) {
+	b := newBench(t, "h1", "h2", "h3")
+	lasting := like(2, 1000)
+	lasting.LongRunning, lasting.MaxPerHost, lasting.MaxUnavailable = true, 1, 1
+	b.add(idA, lasting)
+	starts := b.startLasting("h1", "h2", "h3")
 	for _, s := range starts {
 		b.pool.Restrict([]worker.ID{s.Target.ID}, UseNone)
 	}
@@ -40,18 +48,7 @@
 	lasting := like(2, 1000)
 	lasting.LongRunning, lasting.MaxPerHost, lasting.MaxUnavailable = true, 1, 1
 	b.add(idA, lasting)
-	starts, _ := b.plan()
-	b.accept(starts...)
-	running := map[worker.ID][]worker.Running{}
-	for _, s := range starts {
-		running[s.Target.ID] = append(running[s.Target.ID], worker.Running{Task: s.Order.Task, Run: s.Order.Run, Percent: 100})
-	}
-	for range 16 {
-		b.pass(500 * time.Millisecond)
-		for _, id := range []worker.ID{"h1", "h2"} {
-			b.heldRunning(id, 1, running[id])
-		}
-	}
+	b.startLasting("h1", "h2")
 	b.pool.Restrict([]worker.ID{"h1", "h2"}, UseShort)
 	if _, orders := b.plan(); len(orders.Stops) != 0 {
 		t.Errorf("%d tasks were stopped with nowhere to go", len(orders.Stops))
@@ -66,7 +63,7 @@
 	b.pool.Stopped(stop.Target.ID, stop.Order, b.now, nil)
 	b.pass(time.Millisecond)
 	b.held(stop.Target.ID, 1)
-	starts, _ = b.plan()
+	starts, _ := b.plan()
 	if len(starts) != 1 || starts[0].Target.ID != "h3" {
 		t.Errorf("starts %v; want the task on h3", starts)
 	}
