Plan a pool no more often than its plans allow

Cause: each event asks for a plan of the pool, and each record for another one. A pool of 250 hosts has hundreds of events a second and a plan costs 2.4 ms, so an owner planned all the time, and ends, leases and records waited. TakeUnrecorded and the plan walked all jobs, those that ended minutes ago too, and each host with an unrecorded end looked for its record every 4 ms.

Jobs with unrecorded changes, hosts with unrecorded ends and open jobs are kept in sets of their own. Hosts wait for the next record instead of looking for it. A job whose progress can't be encoded no longer takes the changes of others with it.

--- a/internal/coordination/schedule/bench_test.go
+++ b/internal/coordination/schedule/bench_test.go
@@ -67,7 +67,7 @@
 		p.mu.Lock()
 		for _, e := range p.jobs {
 			if e.liveRuns > 0 {
-				e.dirty = true
+				p.markDirty(e)
 				break
 			}
 		}
--- a/internal/coordination/schedule/copies.go
+++ b/internal/coordination/schedule/copies.go
@@ -11,10 +11,7 @@
 // startCopies starts second runs of slow speculative tasks. It is called only when no
 // other task waits for capacity.
 func (p *Pool) startCopies(now time.Time, orders *Orders) {
-	for _, e := range p.jobs {
-		if e.Ended() {
-			continue
-		}
+	for _, e := range p.openJobs() {
 		for _, s := range e.steps {
 			if !s.def.Speculative || s.def.Gang || s.def.LongRunning {
 				continue
--- a/internal/coordination/schedule/load.go
+++ b/internal/coordination/schedule/load.go
@@ -42,10 +42,7 @@
 	for id, h := range p.hosts {
 		load.Hosts[id] = h.load(now)
 	}
-	for _, e := range p.jobs {
-		if e.Ended() {
-			continue
-		}
+	for _, e := range p.openJobs() {
 		for occurrence := e.firstOpenOccurrence(); occurrence < e.OccurrenceCount() && !now.Before(e.EarliestStart(occurrence)); occurrence++ {
 			p.occurrenceLoad(&load, e, occurrence, now)
 		}
--- a/internal/coordination/schedule/outcome.go
+++ b/internal/coordination/schedule/outcome.go
@@ -20,6 +20,7 @@
 		return
 	}
 	h.received = end.Number
+	p.unacknowledged[h.report.ID] = h
 	key := runKey{end.Task, end.Run}
 	delete(h.unknownRuns, key)
 	r := h.runs[key]
@@ -68,7 +69,7 @@
 	}
 	for _, member := range tasks {
 		if e.MarkDone(t.step.occurrence, t.step.number, member.index, now) {
-			e.dirty = true
+			p.markDirty(e)
 		}
 		for _, other := range member.runs {
 			if other != r && !t.step.def.Gang {
@@ -94,7 +95,7 @@
 	if !e.MarkFailed(t.step.occurrence, t.step.number, t.index, end.Run) {
 		return
 	}
-	e.dirty = true
+	p.markDirty(e)
 	if p.failures(t) >= e.MaxAttempts {
 		e.Fail(now)
 		p.events.Event("job-failed", "job", e.ID, "pool", p.name, "task", end.Task, "failures", p.failures(t),
@@ -142,7 +143,7 @@
 	t.step.job.liveRuns--
 	if !t.step.job.Ended() {
 		// The job is recorded again, without this placement.
-		t.step.job.dirty = true
+		p.markDirty(t.step.job)
 	}
 	if t.step.def.LongRunning {
 		t.downSince = now
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -98,7 +98,8 @@
 	}
 	p.attach(r)
 	h.startsInFlight++
-	e.started, e.dirty = true, true
+	e.started = true
+	p.markDirty(e)
 	orders.HasPlacements = true
 	return r
 }
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -31,7 +31,13 @@
 	inheritedExpiry time.Time
 	checksCapacity  bool
 	jobs            map[job.ID]*jobEntry
-	hosts           map[worker.ID]*host
+	// open holds the jobs that have not ended; ended ones are removed when it is walked. dirty
+	// holds the jobs with changes that are not recorded, unacknowledged the hosts with ended
+	// runs that are not.
+	open           map[job.ID]*jobEntry
+	dirty          map[job.ID]*jobEntry
+	unacknowledged map[worker.ID]*host
+	hosts          map[worker.ID]*host
 	// fenced is set once a host has accepted the fencing token of a later owner.
 	fenced    bool
 	estimates estimates
@@ -44,6 +50,7 @@
 		inheritedExpiry: now.Add(limits.MaxUnconfirmed + limits.maxLeaseDuration()),
 		checksCapacity:  true,
 		jobs:            map[job.ID]*jobEntry{}, hosts: map[worker.ID]*host{},
+		open: map[job.ID]*jobEntry{}, dirty: map[job.ID]*jobEntry{}, unacknowledged: map[worker.ID]*host{},
 		estimates: estimates{},
 	}
 }
@@ -78,6 +85,9 @@
 		started: j.AnyRunEnded() || len(j.Placements) > 0,
 	}
 	p.jobs[j.ID] = e
+	if !e.Ended() {
+		p.open[j.ID] = e
+	}
 	for _, placed := range j.Placements {
 		p.inherit(e, placed)
 	}
@@ -142,13 +152,26 @@
 	}
 }
 
+// openJobs returns the jobs that have not ended.
+func (p *Pool) openJobs() map[job.ID]*jobEntry {
+	for id, e := range p.open {
+		if e.Ended() {
+			delete(p.open, id)
+		}
+	}
+	return p.open
+}
+
+// markDirty marks a job as changed since its last record.
+func (p *Pool) markDirty(e *jobEntry) { p.dirty[e.ID] = e }
+
 // Waiting returns how many jobs of a queue have had no task started and have not ended.
 func (p *Pool) Waiting(queue string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := 0
-	for _, e := range p.jobs {
-		if e.Queue == queue && !e.started && !e.Ended() {
+	for _, e := range p.openJobs() {
+		if e.Queue == queue && !e.started {
 			n++
 		}
 	}
@@ -164,6 +187,8 @@
 	for id, e := range p.jobs {
 		if e.recordedState != "" && e.liveRuns == 0 && now.Sub(e.EndedAt) > p.limits.EndedJobRetention {
 			delete(p.jobs, id)
+			delete(p.open, id)
+			delete(p.dirty, id)
 			forgotten = append(forgotten, id)
 		}
 	}
@@ -189,6 +214,7 @@
 		}
 		if len(h.runs) == 0 && !now.Before(h.expiry) {
 			delete(p.hosts, id)
+			delete(p.unacknowledged, id)
 		}
 	}
 }
--- a/internal/coordination/schedule/preempt.go
+++ b/internal/coordination/schedule/preempt.go
@@ -9,7 +9,7 @@
 // number is less urgent.
 func (p *Pool) leastUrgentPriority() int {
 	lowest := 0
-	for _, e := range p.jobs {
+	for _, e := range p.openJobs() {
 		if e.liveRuns > 0 {
 			lowest = max(lowest, e.Priority)
 		}
--- a/internal/coordination/schedule/rank.go
+++ b/internal/coordination/schedule/rank.go
@@ -33,10 +33,7 @@
 // candidates returns the steps with tasks that could start, the most urgent first.
 func (p *Pool) candidates(now time.Time) []candidate {
 	var found []candidate
-	for _, e := range p.jobs {
-		if e.Ended() {
-			continue
-		}
+	for _, e := range p.openJobs() {
 		for occurrence := e.firstOpenOccurrence(); occurrence < e.OccurrenceCount() && !now.Before(e.EarliestStart(occurrence)); occurrence++ {
 			found = p.occurrenceCandidates(found, e, occurrence, now)
 		}
--- a/internal/coordination/schedule/record.go
+++ b/internal/coordination/schedule/record.go
@@ -31,23 +31,25 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u := Unrecorded{Progress: map[job.ID][]byte{}, finalStates: map[job.ID]job.State{}, received: map[worker.ID]receivedEnd{}}
-	for id, e := range p.jobs {
-		if !e.dirty {
-			continue
-		}
+	for id, e := range p.dirty {
 		e.Placements, u.pendingStarts = e.placements(u.pendingStarts)
 		data, err := e.MarshalProgress()
 		if err != nil {
-			return u, err
+			for taken := range u.Progress {
+				p.markDirty(p.jobs[taken])
+			}
+			return Unrecorded{}, err
 		}
 		u.Progress[id] = data
 		u.finalStates[id] = e.FinalState()
-		e.dirty = false
+		delete(p.dirty, id)
 	}
-	for id, h := range p.hosts {
-		if h.acknowledged != h.received {
-			u.received[id] = receivedEnd{h.incarnation, h.received}
+	for id, h := range p.unacknowledged {
+		if h.acknowledged == h.received {
+			delete(p.unacknowledged, id)
+			continue
 		}
+		u.received[id] = receivedEnd{h.incarnation, h.received}
 	}
 	return u, nil
 }
@@ -108,7 +110,7 @@
 	defer p.mu.Unlock()
 	for id := range u.Progress {
 		if e, ok := p.jobs[id]; ok {
-			e.dirty = true
+			p.markDirty(e)
 		}
 	}
 }
--- a/internal/coordination/schedule/task.go
+++ b/internal/coordination/schedule/task.go
@@ -15,8 +15,6 @@
 	criticalPaths []time.Duration
 	// started is set once a task has been started, by this owner or an earlier one.
 	started bool
-	// dirty is set while progress or placements have changed and are not recorded.
-	dirty bool
 	// recordedState is the final state that is recorded in the log, or empty.
 	recordedState job.State
 	steps         map[stepKey]*step
--- a/internal/jobhost/conversation.go
+++ b/internal/jobhost/conversation.go
@@ -15,10 +15,9 @@
 	// renewalRetryMax while the host is unresponsive.
 	renewalRetryMin = 50 * time.Millisecond
 	renewalRetryMax = 800 * time.Millisecond
-	// recordCheckInterval and recordChecks bound how long the next renewal waits for the
-	// record of the ended runs in the last reply; without it the host would answer at once.
-	recordCheckInterval = 4 * time.Millisecond
-	recordChecks        = 50
+	// maxRecordWait bounds how long the next renewal waits for the record of the ended runs in
+	// the last reply; without it the host would answer at once.
+	maxRecordWait = 200 * time.Millisecond
 )
 
 // leaseClient renews the lease of one host and processes the renewal replies, which list
@@ -72,10 +71,20 @@
 
 // awaitRecord waits, within a bound, while ended runs of the host are being recorded.
 func (c *leaseClient) awaitRecord(ctx context.Context, id worker.ID) {
-	for range recordChecks {
-		if ctx.Err() != nil || !c.runner.pool.HasUnrecordedEnds(id) {
+	if !c.runner.pool.HasUnrecordedEnds(id) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxRecordWait)
+	defer cancel()
+	for {
+		recorded := c.runner.recorded.changed()
+		if !c.runner.pool.HasUnrecordedEnds(id) {
+			return
+		}
+		select {
+		case <-recorded:
+		case <-ctx.Done():
 			return
 		}
-		wait(ctx, recordCheckInterval)
 	}
 }
--- a/internal/jobhost/pool_runner.go
+++ b/internal/jobhost/pool_runner.go
@@ -33,6 +33,9 @@
 	pool  *schedule.Pool
 	wake  chan struct{}
 	loops sync.WaitGroup
+	pacer schedule.Pacer
+	// recorded is notified after each record of the pool's changes.
+	recorded broadcast
 	// signalRecorder notifies the partition's recorder of changes to be recorded.
 	signalRecorder func()
 	// onFenced notifies the partition that a later owner was seen.
@@ -49,7 +52,8 @@
 	}
 }
 
-// run plans the pool on every signal and every planInterval until ctx ends.
+// run plans the pool after every signal, as soon as its pacer allows, and every planInterval
+// until ctx ends.
 func (r *poolRunner) run(ctx context.Context) {
 	timer := time.NewTimer(planInterval)
 	defer timer.Stop()
@@ -61,8 +65,19 @@
 		case <-timer.C:
 		}
 		timer.Reset(planInterval)
-		r.plan(ctx)
+		if pause := r.pacer.Due(r.host.now()); pause > 0 {
+			wait(ctx, pause)
+		}
+		r.planIfDue(ctx)
+	}
+}
+
+// planIfDue plans the pool and sends the orders, unless it was planned too recently.
+func (r *poolRunner) planIfDue(ctx context.Context) {
+	if r.pacer.Due(r.host.now()) > 0 {
+		return
 	}
+	r.plan(ctx)
 }
 
 func (r *poolRunner) plan(ctx context.Context) {
@@ -76,6 +91,7 @@
 		return
 	}
 	orders := r.pool.Plan(now)
+	r.pacer.Planned(now, r.host.now())
 	if orders.HasPlacements {
 		r.signalRecorder()
 	}
--- a/internal/jobhost/recorder.go
+++ b/internal/jobhost/recorder.go
@@ -160,7 +160,7 @@
 	// Cancels take effect only once they are recorded.
 	r.partition.apply(withPrefix(records, keyJob))
 	for _, runner := range r.partition.runners() {
-		runner.plan(ctx)
+		runner.planIfDue(ctx)
 		changes, err := runner.pool.TakeUnrecorded()
 		if err != nil {
 			r.partition.host.events.Event("record-failed", "pool", runner.pool.Name(), "error", err)
@@ -182,6 +182,7 @@
 	for _, b := range batches {
 		if written {
 			b.runner.startAll(ctx, b.runner.pool.Recorded(b.changes, r.partition.host.now()))
+			b.runner.recorded.notify()
 			b.runner.signal()
 		} else {
 			b.runner.pool.RecordFailed(b.changes)
