Only the strongest entry hosts stand for ownership

Cause: the log deals partitions evenly among the members of a group.

Change: each entry host decides for itself whether to join the group, in a package without sockets and clocks (coordination/candidacy), from its own capacity and from the list of owners, whose member names carry capacity and data centre. A host stands unless more owners with twice its processor, in more data centres, are there than may be lost at once; strong hosts stand first after a start; stand-ins come one after the other, are fewer, and step back. A host that is no member knows by its reads whether the log answers.

Ways weighed: several memberships of a strong host and more topics make the shares uneven only on average; a table in a keyed topic needs liveness of our own. The group stays the only judge of who owns what.

--- a/internal/cmd/serve_jobs.go
+++ b/internal/cmd/serve_jobs.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hornbeammast/hornbeammast/internal/coordination/candidacy"
 	"github.com/hornbeammast/hornbeammast/internal/coordination/capacity"
 	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
 	"github.com/hornbeammast/hornbeammast/internal/eventlog"
@@ -65,6 +66,8 @@
 	// exitMargin is how long before the end of the shutdown grace period the process exits
 	// by itself.
 	exitMargin = 700 * time.Millisecond
+	// milliPerCore converts cores to thousandths of a core.
+	milliPerCore = 1000
 	// openPollInterval is the interval at which open requests are counted while draining.
 	openPollInterval = 20 * time.Millisecond
 )
@@ -141,6 +144,10 @@
 		Name: loaded.Name, DataCentre: loaded.DataCentre, PeerAddress: loaded.PeerAddress,
 		Partitions: loaded.Platform.Partitions,
 		GroupTTL:   ttl,
+		Resources: candidacy.Capacity{
+			CPU: int64(milliPerCore * loaded.Process.CoreShare * loaded.Process.CoreSpeed), LinkMbps: int64(loaded.Process.LinkMbps),
+		},
+		Losses: candidacy.Losses{Hosts: b.LostHosts, DataCentres: b.LostDataCentres},
 		Capacity: jobhost.Capacity{
 			HolderLease:     b.HolderLease.Std(),
 			OrdersPerSecond: loaded.Platform.MachineOrdersPerSecond, ReadsPerSecond: loaded.Platform.MachineReadsPerSecond,
--- a/internal/coordination/owner/keeper.go
+++ b/internal/coordination/owner/keeper.go
@@ -49,6 +49,8 @@
 	now     func() time.Time
 	request keyedlog.JoinRequest
 
+	// changed wakes Run after a change of stands.
+	changed chan struct{}
 	// callLock is held during a call and while its outcome is applied, so that no join
 	// follows the leave, and tenures change one at a time. It is a channel rather than a
 	// mutex because it is held during network calls.
@@ -61,12 +63,36 @@
 	latency    time.Duration
 	generation int64
 	held       []keyedlog.Partition
-	left       bool
+	// stands is whether the host wants to be a member now; left is set by Leave, for good.
+	stands, left bool
+	// joined is whether a join has succeeded since the host last began to stand.
+	joined bool
 }
 
-// New creates a keeper. The clock now must keep advancing while the machine is suspended.
+// New creates a keeper, which is not a member until Stand is called. The clock now must keep
+// advancing while the machine is suspended.
 func New(group Group, holder TenureHolder, events Events, now func() time.Time, request keyedlog.JoinRequest) *Keeper {
-	return &Keeper{group: group, holder: holder, events: events, now: now, request: request, callLock: make(chan struct{}, 1)}
+	return &Keeper{
+		group: group, holder: holder, events: events, now: now, request: request,
+		changed: make(chan struct{}, 1), callLock: make(chan struct{}, 1),
+	}
+}
+
+// Stand makes Run join the group and keep the membership.
+func (k *Keeper) Stand() {
+	k.mu.Lock()
+	k.stands = true
+	k.mu.Unlock()
+	select {
+	case k.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Resign releases all partitions and leaves the group until Stand is called again. If the
+// log does not answer, the membership expires by itself.
+func (k *Keeper) Resign(ctx context.Context) error {
+	return k.leave(ctx, func() { k.stands = false })
 }
 
 // Confirmed returns when the last successful renewal was sent.
@@ -76,6 +102,13 @@
 	return k.confirmed
 }
 
+// Joined reports whether the host is a member as far as it knows.
+func (k *Keeper) Joined() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.joined
+}
+
 // Latency returns the duration of the last successful renewal.
 func (k *Keeper) Latency() time.Duration {
 	k.mu.Lock()
@@ -91,6 +124,14 @@
 		if errors.Is(err, errLeft) {
 			return
 		}
+		if errors.Is(err, errNotStanding) {
+			healthy = true
+			select {
+			case <-k.changed:
+			case <-ctx.Done():
+			}
+			continue
+		}
 		if (err == nil) != healthy {
 			healthy = err == nil
 			k.events.Event("membership-"+map[bool]string{true: "regained", false: "lost"}[healthy],
@@ -109,8 +150,8 @@
 func (k *Keeper) renew(ctx context.Context) (released bool, err error) {
 	k.callLock <- struct{}{}
 	defer func() { <-k.callLock }()
-	if k.hasLeft() {
-		return false, errLeft
+	if err := k.membershipWanted(); err != nil {
+		return false, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
@@ -126,7 +167,7 @@
 	// partitions, unless the generation is unchanged.
 	gap := sent.Sub(k.confirmed) >= k.request.TTL && a.Generation != k.generation
 	before := k.held
-	k.held, k.generation, k.confirmed, k.latency = a.Partitions, a.Generation, sent, k.now().Sub(sent)
+	k.held, k.generation, k.confirmed, k.latency, k.joined = a.Partitions, a.Generation, sent, k.now().Sub(sent), true
 	k.mu.Unlock()
 	return k.apply(before, a, gap), nil
 }
@@ -173,25 +214,49 @@
 	}
 }
 
-// errLeft is returned by renew after Leave and ends Run.
-var errLeft = errors.New("the member has left the group")
+// errLeft is returned by renew after Leave and ends Run; errNotStanding is returned while the
+// host does not want to be a member.
+var (
+	errLeft        = errors.New("the member has left the group")
+	errNotStanding = errors.New("the host does not stand for ownership")
+)
 
-func (k *Keeper) hasLeft() bool {
+func (k *Keeper) membershipWanted() error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.left
+	switch {
+	case k.left:
+		return errLeft
+	case !k.stands:
+		return errNotStanding
+	default:
+		return nil
+	}
 }
 
 // Leave releases all partitions and leaves the group for good.
 func (k *Keeper) Leave(ctx context.Context) error {
+	return k.leave(ctx, func() { k.left = true })
+}
+
+// leave releases all partitions, marks the membership as ended, and leaves the group.
+func (k *Keeper) leave(ctx context.Context, mark func()) error {
 	k.callLock <- struct{}{}
 	defer func() { <-k.callLock }()
 	k.mu.Lock()
-	held := k.held
-	k.held, k.left = nil, true
+	held, member := k.held, k.stands
+	k.held, k.generation, k.joined = nil, 0, false
+	mark()
 	k.mu.Unlock()
 	for _, p := range held {
 		k.holder.Release(p)
 	}
+	select {
+	case k.changed <- struct{}{}:
+	default:
+	}
+	if !member {
+		return nil
+	}
 	return k.group.Leave(ctx, k.request.Group, k.request.Member)
 }
--- a/internal/coordination/owner/keeper_test.go
+++ b/internal/coordination/owner/keeper_test.go
@@ -92,6 +92,7 @@
 		g, h := &fakeGroup{}, &recordingHolder{}
 		g.assignment = keyedlog.Assignment{Generation: 3, Partitions: partitions(0, 1)}
 		k := New(g, h, h, time.Now, keyedlog.JoinRequest{Group: "g", Member: "m", TTL: 1200 * time.Millisecond})
+		k.Stand()
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
@@ -159,3 +160,32 @@
 		}
 	})
 }
+
+func TestResignAndStandAgain(t *testing.T) {
+	withKeeper(t, func(t *testing.T, g *fakeGroup, h *recordingHolder, k *Keeper) {
+		if err := k.Resign(t.Context()); err != nil || !g.left {
+			t.Errorf("left %v, error %v", g.left, err)
+		}
+		time.Sleep(time.Second)
+		h.want(t, "release 0", "release 1")
+		if g.joinsAfterLeave > 0 || k.Joined() {
+			t.Errorf("%d joins after the member had resigned; joined %v", g.joinsAfterLeave, k.Joined())
+		}
+		g.set(func() { g.left, g.assignment.Generation = false, 5 })
+		k.Stand()
+		time.Sleep(time.Second)
+		h.want(t, "acquire 0 with 5", "acquire 1 with 5")
+		if !k.Joined() {
+			t.Error("not joined a second after the member stands again")
+		}
+	})
+}
+
+// TestResignWithoutAnAnswer resigns while the log does not answer: the work must end at once.
+func TestResignWithoutAnAnswer(t *testing.T) {
+	withKeeper(t, func(t *testing.T, g *fakeGroup, h *recordingHolder, k *Keeper) {
+		g.set(func() { g.err = errors.New("no answer") })
+		_ = k.Resign(t.Context()) // The fake answers a leave in any case.
+		h.want(t, "release 0", "release 1")
+	})
+}
--- a/internal/emulator/site/group.go
+++ b/internal/emulator/site/group.go
@@ -82,7 +82,7 @@
 	defer a.store.mu.Unlock()
 	g, ok := a.store.groups[name]
 	if !ok {
-		return nil, errNoGroup
+		return nil, nil
 	}
 	g.expire(time.Now())
 	var owners []keyedlog.Owner
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/hornbeammast/hornbeammast/internal/coordination/candidacy"
 	"github.com/hornbeammast/hornbeammast/internal/coordination/capacity"
 	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
 	"github.com/hornbeammast/hornbeammast/internal/jobhost"
@@ -222,14 +223,20 @@
 	return names
 }
 
-// StartHost starts an entry host; number determines its peer address.
+// StartHost starts an entry host of unknown capacity; number determines its peer address.
 func (s *Site) StartHost(name, dataCentre string, number int) (*EntryHost, error) {
+	return s.StartHostOf(candidacy.Capacity{}, name, dataCentre, number)
+}
+
+// StartHostOf starts an entry host of a capacity.
+func (s *Site) StartHostOf(resources candidacy.Capacity, name, dataCentre string, number int) (*EntryHost, error) {
 	h := &EntryHost{Name: name, DataCentre: dataCentre, address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number)}), 7000)}
 	s.mu.Lock()
 	s.hosts[name] = h
 	s.mu.Unlock()
 	settings := jobhost.Settings{
 		Name: name, DataCentre: dataCentre, PeerAddress: h.address, Partitions: partitions, GroupTTL: groupTTL,
+		Resources: resources, Losses: candidacy.Losses{Hosts: 1, DataCentres: 1},
 		Limits: schedule.Limits{
 			Lease: 5 * time.Second, MaxLease: maxLease, MaxUnconfirmed: 6 * time.Second, RenewalWait: 1500 * time.Millisecond,
 			CheckpointInterval: checkpointInterval, RemoteDataFactor: 2, MinReadyTime: 4500 * time.Millisecond,
--- a/internal/emulator/site/site_test.go
+++ b/internal/emulator/site/site_test.go
@@ -72,9 +72,11 @@
 	site  *Site
 	hosts []*EntryHost
 	next  int
-	wait  sync.WaitGroup
-	queue map[job.ID]string
-	mu    sync.Mutex
+	// addresses is how many addresses startUnlike has given out.
+	addresses int
+	wait      sync.WaitGroup
+	queue     map[job.ID]string
+	mu        sync.Mutex
 }
 
 // newFixture starts a site with all entry hosts and waits 4 s of virtual time.
--- a/internal/emulator/site/store.go
+++ b/internal/emulator/site/store.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/hornbeammast/hornbeammast/internal/pause"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/verdict"
@@ -233,6 +231,3 @@
 	p := a.store.partition(id)
 	return keyedlog.Batch{Records: p.newest(), End: p.end(), Next: p.end()}, nil
 }
-
-// errNoGroup is returned for a group that no member has ever joined.
-var errNoGroup = errors.New("no member has joined the group")
--- a/internal/jobhost/appender.go
+++ b/internal/jobhost/appender.go
@@ -74,7 +74,7 @@
 // timeout returns the timeout of an append's first attempt. It is short because repeating
 // an append is safe, and later records wait while one answer is lost.
 func (a *appender) timeout() time.Duration {
-	latency := max(a.latency, a.host.keeper.Latency())
+	latency := max(a.latency, a.host.logLatency())
 	return min(maxAppendTimeout, max(minAppendTimeout, latencyFactor*latency))
 }
 
--- a/internal/jobhost/directory.go
+++ b/internal/jobhost/directory.go
@@ -4,10 +4,10 @@
 	"context"
 	"net/netip"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
+	"github.com/hornbeammast/hornbeammast/internal/coordination/candidacy"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
@@ -36,6 +36,8 @@
 	// readAt is when the list was last read, zero if it is to be read again; triedAt is
 	// when the last attempt began.
 	readAt, triedAt time.Time
+	// listedAt is when the list was last read, even if it is to be read again.
+	listedAt time.Time
 }
 
 func newDirectory(host *JobHost, member string) *directory {
@@ -61,16 +63,6 @@
 	return d.host.now().Before(d.unresponsiveUntil[address])
 }
 
-// addressOf parses the peer address out of a member name made by memberName.
-func addressOf(member string) (netip.AddrPort, bool) {
-	parts := strings.Split(member, "@")
-	if len(parts) != 3 {
-		return netip.AddrPort{}, false
-	}
-	address, err := netip.ParseAddrPort(parts[1])
-	return address, err == nil
-}
-
 // refresh reads the list of owners if it is at least maxAge old.
 func (d *directory) refresh(ctx context.Context, maxAge time.Duration) {
 	now := d.host.now()
@@ -87,15 +79,33 @@
 	if err != nil {
 		return
 	}
+	answeredAt := d.host.now()
+	d.host.contact.answeredAfter(answeredAt, answeredAt.Sub(now))
 	owners := make(map[keyedlog.Partition]string, len(rows))
 	for _, row := range rows {
 		owners[row.Partition] = row.Member
 	}
 	d.mu.Lock()
-	d.owners, d.readAt = owners, now
+	d.owners, d.readAt, d.listedAt = owners, now, now
 	d.mu.Unlock()
 }
 
+// ownersView returns the owners of the last list, for the candidacy.
+func (d *directory) ownersView() candidacy.View {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	view := candidacy.View{ReadAt: d.listedAt, Partitions: d.host.settings.Partitions}
+	members := map[string]struct{}{}
+	for _, member := range d.owners {
+		if _, ok := members[member]; !ok && member != d.member {
+			members[member] = struct{}{}
+			view.Owners = append(view.Owners, ownerFromMember(member))
+		}
+	}
+	view.Unowned = max(0, view.Partitions-len(d.owners))
+	return view
+}
+
 // ownerOf returns the peer address of a pool's owner, if that is another entry host.
 func (d *directory) ownerOf(ctx context.Context, pool string) (netip.AddrPort, bool) {
 	d.refresh(ctx, ownersMaxAge)
--- a/internal/jobhost/dump.go
+++ b/internal/jobhost/dump.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hornbeammast/hornbeammast/internal/coordination/candidacy"
 	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
 )
 
@@ -14,11 +15,20 @@
 	ConfigVersion int64                     `json:"config-version"`
 	ConfirmedAge  string                    `json:"confirmed-age"`
 	Draining      bool                      `json:"draining"`
+	Candidacy     CandidacyDump             `json:"candidacy"`
 	Partitions    []PartitionDump           `json:"partitions"`
 	Pools         []schedule.PoolDump       `json:"pools"`
 	Latencies     map[string]LatencySummary `json:"latencies"`
 }
 
+// CandidacyDump says whether the entry host stands for the ownership of partitions.
+type CandidacyDump struct {
+	Stands   bool             `json:"stands"`
+	Reason   candidacy.Reason `json:"reason"`
+	CPU      int64            `json:"cpu-millicores"`
+	LinkMbps int64            `json:"link-mbps"`
+}
+
 // PartitionDump is the state of one tenure of a partition.
 type PartitionDump struct {
 	Partition int   `json:"partition"`
@@ -29,7 +39,8 @@
 
 // Metrics returns the latencies, readiness and configuration version.
 func (h *JobHost) Metrics() map[string]any {
-	m := map[string]any{"latencies": h.metrics.summaries(), "ready": h.Ready()}
+	stands, _ := h.candidacy.stands()
+	m := map[string]any{"latencies": h.metrics.summaries(), "ready": h.Ready(), "stands": stands, "partitions": len(h.ownedPartitions())}
 	if config := h.config(); config != nil {
 		m["config-version"] = config.Version
 	}
@@ -43,6 +54,8 @@
 		Name: h.settings.Name, DataCentre: h.settings.DataCentre, Member: h.directory.member, Draining: h.draining.Load(),
 		ConfirmedAge: now.Sub(h.keeper.Confirmed()).Round(time.Millisecond).String(), Latencies: h.metrics.summaries(),
 	}
+	stands, reason := h.candidacy.stands()
+	d.Candidacy = CandidacyDump{stands, reason, h.settings.Resources.CPU, h.settings.Resources.LinkMbps}
 	if config := h.config(); config != nil {
 		d.ConfigVersion = config.Version
 	}
--- a/internal/jobhost/follower.go
+++ b/internal/jobhost/follower.go
@@ -39,6 +39,8 @@
 	// onLoaded, if set, is called after each load, once the records that were in the log
 	// have been applied.
 	onLoaded func()
+	// onAnswer, if set, is called after each answer of the log.
+	onAnswer func()
 
 	// gather is how long to wait after a read that returned records, so that the next one
 	// returns several.
@@ -132,6 +134,9 @@
 	if batch.Unreadable > 0 {
 		f.events.Event("records-unreadable", "topic", f.partition.Topic, "partition", f.partition.Number, "count", batch.Unreadable)
 	}
+	if f.onAnswer != nil {
+		f.onAnswer()
+	}
 	f.apply(batch.Records)
 	f.moveTo(batch.Next)
 	return batch, nil
--- a/internal/jobhost/job_host.go
+++ b/internal/jobhost/job_host.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"net/netip"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/hornbeammast/hornbeammast/internal/coordination/candidacy"
 	"github.com/hornbeammast/hornbeammast/internal/coordination/intake"
 	"github.com/hornbeammast/hornbeammast/internal/coordination/owner"
 	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
@@ -33,9 +33,6 @@
 	// hostsGatherTime is how long reports of hosts are collected before the next read, since
 	// they arrive continuously.
 	hostsGatherTime = 250 * time.Millisecond
-	// contactTimeout is how long after the last confirmed renewal of the membership the log
-	// counts as reachable: long enough for two renewals.
-	contactTimeout = 1300 * time.Millisecond
 	// askPeersInterval is how often peers are asked for the configuration while the log
 	// does not answer.
 	askPeersInterval = 400 * time.Millisecond
@@ -55,8 +52,11 @@
 	Partitions int
 	// GroupTTL is how long a member that does not renew keeps its partitions.
 	GroupTTL time.Duration
-	Limits   schedule.Limits
-	Capacity Capacity
+	// Resources is what the process can use, Losses what the site must bear at once.
+	Resources candidacy.Capacity
+	Losses    candidacy.Losses
+	Limits    schedule.Limits
+	Capacity  Capacity
 }
 
 // JobHost is a running entry host for jobs.
@@ -70,6 +70,8 @@
 	operators *operatorsView
 	hosts     *hostsView
 	keeper    *owner.Keeper
+	candidacy *candidacyLoop
+	contact   contact
 	directory *directory
 	intake    *intake.Intake
 	submitter *submitter
@@ -116,7 +118,8 @@
 	h.peers = peer.NewJobClient(h.network)
 	h.operators = &operatorsView{codec: platform.Records, events: events, onChange: h.refresh, waves: map[int64]machine.Wave{}}
 	h.hosts = &hostsView{codec: platform.Records, events: events, onChange: h.refresh, hosts: map[worker.ID]worker.Report{}}
-	member := memberName(s.Name, server.Address(), now())
+	member := memberName(&s, server.Address(), now())
+	h.candidacy = newCandidacyLoop(h, now())
 	h.directory = newDirectory(h, member)
 	h.keeper = owner.New(platform.Log, h, events, now, keyedlog.JoinRequest{
 		Group: groupName, Member: member, Topics: []string{TopicJobs}, TTL: s.GroupTTL,
@@ -131,11 +134,12 @@
 func (h *JobHost) startLoops(ctx context.Context) {
 	operators := &follower{
 		log: h.platform.Log, events: h.events, partition: h.platform.Records.OperatorPartition(), now: h.now,
-		apply: h.operators.apply,
+		apply: h.operators.apply, onAnswer: func() { h.contact.answered(h.now()) },
 	}
 	h.loops.Go(func() { operators.run(ctx) })
 	h.loops.Go(func() { h.askPeers(ctx) })
 	h.loops.Go(func() { h.keeper.Run(ctx) })
+	h.loops.Go(func() { h.candidacy.run(ctx) })
 }
 
 // askPeers fetches newer configurations from peers while the log does not answer this
@@ -170,12 +174,6 @@
 	}
 }
 
-// memberName returns the group member name, which includes the peer address: the log's
-// list of owners thus also gives the address of each owner.
-func memberName(name string, address netip.AddrPort, now time.Time) string {
-	return name + "@" + address.String() + "@" + strconv.FormatInt(now.UnixMilli(), 36)
-}
-
 // Intake returns the intake, which serves callers' requests about jobs.
 func (h *JobHost) Intake() *intake.Intake { return h.intake }
 
@@ -192,9 +190,6 @@
 	return now.Sub(h.keeper.Confirmed()) < h.settings.Limits.MaxUnconfirmed
 }
 
-// inContact reports whether the log has answered this entry host within contactTimeout.
-func (h *JobHost) inContact() bool { return h.now().Sub(h.keeper.Confirmed()) < contactTimeout }
-
 // Ready reports whether callers should be sent here. Without the log no job can be accepted.
 func (h *JobHost) Ready() bool { return h.config() != nil && !h.draining.Load() && h.inContact() }
 
--- a/internal/jobhost/log_recorder.go
+++ b/internal/jobhost/log_recorder.go
@@ -116,7 +116,7 @@
 			return result, message
 		}
 	}
-	if s.host.inContact() && s.host.keeper.Latency() > slowLogLatency {
+	if s.host.inContact() && s.host.logLatency() > slowLogLatency {
 		return result, "the log is slow, and the partition's owner does not answer"
 	}
 	if s.host.inContact() {
--- a/internal/jobhost/peer_handler.go
+++ b/internal/jobhost/peer_handler.go
@@ -90,6 +90,12 @@
 	return h.host.addForPeer(ctx, request), nil
 }
 
+// Standing notes that a peer stands for ownership.
+func (h peerHandler) Standing(_ context.Context, request *wire.StandingRequest) (*wire.StandingReply, error) {
+	h.host.candidacy.noteStanding(request.GetMember(), h.host.now())
+	return &wire.StandingReply{}, nil
+}
+
 // Configuration returns the record of the configuration in force if it is newer than the
 // requested version, and an empty reply otherwise.
 func (h peerHandler) Configuration(_ context.Context, request *wire.ConfigurationRequest) (*wire.ConfigurationReply, error) {
--- a/internal/protocol/settings/job_settings.go
+++ b/internal/protocol/settings/job_settings.go
@@ -71,12 +71,22 @@
 	// ShutdownGrace is how long the process may run after it is told to shut down; it exits
 	// by itself shortly before the end.
 	ShutdownGrace fleet.Duration `json:"shutdown-grace,omitempty"`
+	// LostHosts and LostDataCentres are how many entry hosts and how many data centres may be
+	// lost at once.
+	LostHosts       int `json:"lost-hosts,omitempty"`
+	LostDataCentres int `json:"lost-data-centres,omitempty"`
 }
 
 // Process bounds the resources that the process uses.
 type Process struct {
-	MemoryMB       int `json:"memory-mb,omitempty"`
-	MaxDescriptors int `json:"max-descriptors,omitempty"`
+	// CoreShare is the share of a core that the process gets, CoreSpeed how fast the core is
+	// as a multiple of the site's usual core.
+	CoreShare float64 `json:"core-share,omitempty"`
+	CoreSpeed float64 `json:"core-speed,omitempty"`
+	// LinkMbps is the bandwidth of the machine's network link; 0 if it is not known.
+	LinkMbps       float64 `json:"link-mbps,omitempty"`
+	MemoryMB       int     `json:"memory-mb,omitempty"`
+	MaxDescriptors int     `json:"max-descriptors,omitempty"`
 }
 
 // DefaultJobSettings returns the defaults for settings that a file omits.
@@ -90,9 +100,9 @@
 			MaintenanceTime: fleet.Duration(2 * time.Second), HolderLease: fleet.Duration(3 * time.Second),
 			MinReadyTime:       fleet.Duration(5 * time.Second),
 			CheckpointInterval: fleet.Duration(time.Second), EndedJobRetention: fleet.Duration(2 * time.Minute),
-			RemoteDataFactor: 2, ShutdownGrace: fleet.Duration(6 * time.Second),
+			RemoteDataFactor: 2, ShutdownGrace: fleet.Duration(6 * time.Second), LostHosts: 2, LostDataCentres: 1,
 		},
-		Process:           Process{MemoryMB: 256, MaxDescriptors: 4096},
+		Process:           Process{CoreShare: 1, CoreSpeed: 1, MemoryMB: 256, MaxDescriptors: 4096},
 		LogLevel:          "info",
 		LogBytesPerSecond: 256 << 10,
 	}
@@ -147,6 +157,12 @@
 	if s.Platform.MachineOrdersPerSecond <= 0 || s.Platform.MachineReadsPerSecond <= 0 {
 		return errors.New("platform: machine-orders-per-second and machine-reads-per-second must be above 0")
 	}
+	if s.Process.CoreShare <= 0 || s.Process.CoreSpeed <= 0 || s.Process.LinkMbps < 0 {
+		return errors.New("process: core-share and core-speed must be above 0, link-mbps must not be negative")
+	}
+	if s.Bounds.LostHosts < 0 || s.Bounds.LostDataCentres < 0 {
+		return errors.New("bounds: lost-hosts and lost-data-centres must not be negative")
+	}
 	if s.LogBytesPerSecond < 1 {
 		return errors.New("log-bytes-per-second must be above 0")
 	}
--- a/internal/transport/peer/job_client.go
+++ b/internal/transport/peer/job_client.go
@@ -85,6 +85,12 @@
 	return callJobWithTimeout(ctx, relayTimeout, c, address, wire.DRPCJobPeerClient.Relay, request)
 }
 
+// Standing tells an owner that the sender stands for ownership too.
+func (c *JobClient) Standing(ctx context.Context, address netip.AddrPort, request *wire.StandingRequest) error {
+	_, err := callJob(ctx, c, address, wire.DRPCJobPeerClient.Standing, request)
+	return err
+}
+
 // Configuration asks for a newer configuration, if the peer has one.
 func (c *JobClient) Configuration(ctx context.Context, address netip.AddrPort, request *wire.ConfigurationRequest) (*wire.ConfigurationReply, error) {
 	return callJob(ctx, c, address, wire.DRPCJobPeerClient.Configuration, request)
