Use the rate of the machine service

Orders to the machine service take some 200 ms, and all calls to one address share 24 connections, so no more than 150 of the 590 orders a second were possible. Half of the orders ended without having been sent, and the list of machines waited behind them: one plan came 2.3 s after the last in the middle of a turn, in which nothing was moved.

Change: the machine service has a client of its own with as many connections as its rate needs; open orders are bounded so that the list always finds one. The loads of the pools are asked for at the same time, and only of the owners of configured pools.

--- a/internal/cmd/serve_jobs.go
+++ b/internal/cmd/serve_jobs.go
@@ -54,6 +54,11 @@
 	offPeakShare = 0.2
 	// maxConnsPerAddress bounds the open connections to one worker or platform service.
 	maxConnsPerAddress = 24
+	// machineAnswerTime is how long the machine service may take to answer an order.
+	machineAnswerTime = 250 * time.Millisecond
+	// minMachineConns and maxMachineConns bound the open orders to the machine service;
+	// machineListConns are kept free for the list of machines.
+	minMachineConns, maxMachineConns, machineListConns = 16, 256, 4
 	// maxConnsPerListener bounds the open connections of each listener, the callers' in
 	// particular, below the limit of file descriptors.
 	maxConnsPerListener = 2000
@@ -74,9 +79,11 @@
 
 // jobServer is a running entry host for jobs with its listeners.
 type jobServer struct {
-	settings      settings.JobSettings
-	log           *eventlog.Log
-	client        *httpconn.Client
+	settings settings.JobSettings
+	log      *eventlog.Log
+	client   *httpconn.Client
+	// machineClient is the client of the machine service, to which many orders may be open.
+	machineClient *httpconn.Client
 	host          *jobhost.JobHost
 	callerHandler *platform.CallerHandler
 	callers       *httpconn.Server
@@ -122,9 +129,12 @@
 	if s.client, err = httpconn.New(httpconn.WithMaxConns(maxConnsPerAddress)); err != nil {
 		return nil, err
 	}
+	if s.machineClient, err = httpconn.New(httpconn.WithMaxConns(maxOpenOrders(&loaded.Platform) + machineListConns)); err != nil {
+		return nil, err
+	}
 	p := jobhost.Platform{
 		Log: &platform.Log{HTTP: s.client, Address: loaded.Platform.LogAddress}, Workers: &platform.Workers{HTTP: s.client},
-		Machines:  &platform.Machines{HTTP: s.client, Address: loaded.Platform.MachinesAddress},
+		Machines:  &platform.Machines{HTTP: s.machineClient, Address: loaded.Platform.MachinesAddress},
 		Placement: &platform.PlacementChecker{HTTP: s.client, Address: loaded.Platform.PlacementCheckAddress},
 		Records:   platform.RecordCodec{},
 	}
@@ -151,6 +161,7 @@
 		Capacity: jobhost.Capacity{
 			HolderLease:     b.HolderLease.Std(),
 			OrdersPerSecond: loaded.Platform.MachineOrdersPerSecond, ReadsPerSecond: loaded.Platform.MachineReadsPerSecond,
+			MaxOpenOrders: maxOpenOrders(&loaded.Platform),
 			Options: capacity.Options{
 				HeadroomFactor: poolHeadroom, MinHosts: minPoolHosts, ShrinkAfter: shrinkAfter, OffPeakShare: offPeakShare,
 				MoveTime: b.MoveTime.Std(), MaintenanceTime: b.MaintenanceTime.Std(), FormerOwnerOrderTime: ttl,
@@ -164,6 +175,12 @@
 	}
 }
 
+// maxOpenOrders returns how many orders to the machine service may be open, so that its
+// rate limit can be used although an answer takes machineAnswerTime.
+func maxOpenOrders(p *settings.PlatformSettings) int {
+	return min(maxMachineConns, max(minMachineConns, int(p.MachineOrdersPerSecond*machineAnswerTime.Seconds())))
+}
+
 func (s *jobServer) listen() error {
 	limits := httpconn.Limits{MaxBody: maxSubmissionBytes, MaxConns: maxConnsPerListener}
 	var err error
@@ -241,5 +258,6 @@
 	}
 	s.host.Close()
 	s.client.Close()
+	s.machineClient.Close()
 	return nil
 }
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -243,7 +243,7 @@
 			EndedJobRetention: 2 * time.Minute,
 		},
 		Capacity: jobhost.Capacity{
-			HolderLease: holderLease, OrdersPerSecond: 16, ReadsPerSecond: 16,
+			HolderLease: holderLease, OrdersPerSecond: 16, ReadsPerSecond: 16, MaxOpenOrders: 16,
 			Options: capacity.Options{
 				HeadroomFactor: 1.15, MinHosts: 2, ShrinkAfter: 1500 * time.Millisecond, OffPeakShare: 0.45,
 				MoveTime: moveTime, MaintenanceTime: maintenanceTime, FormerOwnerOrderTime: groupTTL,
--- a/internal/jobhost/fleet_orders.go
+++ b/internal/jobhost/fleet_orders.go
@@ -27,7 +27,7 @@
 // use, and sends orders at no more than the rate limit of the machine service.
 func (f *fleetOwner) carryOut(ctx context.Context, actions []capacity.Action) {
 	restrictions := map[restriction][]worker.ID{}
-	ordersLeft := f.host.settings.Capacity.ordersPerPlan()
+	ordersLeft := f.host.settings.Capacity.ordersPerPlan(f.openOrders())
 	for _, a := range actions {
 		if use, ok := useAfter[a.Kind]; ok {
 			key := restriction{a.Pool, use}
@@ -36,8 +36,8 @@
 			continue
 		}
 		if ordersLeft--; ordersLeft >= 0 {
-			// Orders beyond the rate limit are left to the next plan, which contains their
-			// actions again and is due before the limit allows more orders.
+			// Orders beyond the limits are left to the next plan, which contains their actions
+			// again and is due before the rate limit allows more orders.
 			f.startOrder(ctx, a)
 		}
 	}
@@ -48,6 +48,19 @@
 	}
 }
 
+// openOrders returns how many orders the machine service has not accepted yet.
+func (f *fleetOwner) openOrders() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	open := 0
+	for _, o := range f.ordered {
+		if o.acceptedAt.IsZero() {
+			open++
+		}
+	}
+	return open
+}
+
 // startOrder sends the order of an action in the background.
 func (f *fleetOwner) startOrder(ctx context.Context, a capacity.Action) {
 	o := &machineOrder{action: a, decidedAt: f.host.now()}
--- a/internal/jobhost/fleet_owner.go
+++ b/internal/jobhost/fleet_owner.go
@@ -37,11 +37,15 @@
 	// OrdersPerSecond and ReadsPerSecond are the rate limits of the machine service for all
 	// entry hosts together.
 	OrdersPerSecond, ReadsPerSecond float64
+	// MaxOpenOrders is how many orders may wait for an answer of the machine service.
+	MaxOpenOrders int
 }
 
-// ordersPerPlan is how many orders the rate limit allows between two plans, at least one.
-func (c *Capacity) ordersPerPlan() int {
-	return max(1, int(c.OrdersPerSecond*fleetInterval.Seconds()))
+// ordersPerPlan is how many orders may be sent after a plan while open ones wait for an
+// answer: as many as the rate limit allows between two plans, at least one, within
+// MaxOpenOrders.
+func (c *Capacity) ordersPerPlan(open int) int {
+	return max(0, min(max(1, int(c.OrdersPerSecond*fleetInterval.Seconds())), c.MaxOpenOrders-open))
 }
 
 // readInterval is the interval of listing machines while orders are pending. It uses half
@@ -185,7 +189,7 @@
 	if len(f.listedMachines()) == 0 {
 		return
 	}
-	loads := f.host.allLoads(ctx)
+	loads := f.host.allLoads(ctx, config)
 	f.reportGone(ctx, loads)
 	view := capacity.View{Now: f.host.now()}
 	f.setLoads(loads, view.Now)
--- a/internal/jobhost/loads.go
+++ b/internal/jobhost/loads.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/queue"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
@@ -58,28 +61,51 @@
 	return load
 }
 
-// allLoads collects the loads of all pools from their owners; pools whose owner does not
-// answer are missing.
-func (h *JobHost) allLoads(ctx context.Context) map[string]*schedule.Load {
+// allLoads collects the loads of the configured pools from their owners, all at the same
+// time; pools whose owner does not answer are missing.
+func (h *JobHost) allLoads(ctx context.Context, config *queue.Configuration) map[string]*schedule.Load {
 	ctx, cancel := context.WithTimeout(ctx, loadsTimeout)
 	defer cancel()
 	found := map[string]*schedule.Load{}
 	for _, m := range h.ownedLoads() {
 		found[m.GetPool()] = loadFromProto(m)
 	}
-	for _, address := range h.directory.ownerAddresses(ctx) {
-		reply, err := h.peers.Load(ctx, address)
-		if err != nil {
-			h.directory.invalidate()
-			continue
-		}
-		for _, m := range reply.GetPools() {
+	replies := make(chan *wire.LoadReply)
+	owners := h.poolOwners(ctx, config)
+	for _, address := range owners {
+		go func() {
+			reply, err := h.peers.Load(ctx, address)
+			if err != nil {
+				h.directory.markUnresponsive(address)
+				h.events.Event("peer-silent", "peer", address, "call", "load", "error", err)
+			}
+			replies <- reply
+		}()
+	}
+	for range owners {
+		for _, m := range (<-replies).GetPools() {
 			found[m.GetPool()] = loadFromProto(m)
 		}
 	}
 	return found
 }
 
+// poolOwners returns the addresses of the other entry hosts that own a configured pool,
+// without those that did not answer recently.
+func (h *JobHost) poolOwners(ctx context.Context, config *queue.Configuration) []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for n := range config.Pools {
+		if config.Pools[n].Spare {
+			continue
+		}
+		address, ok := h.directory.ownerOf(ctx, config.Pools[n].Name)
+		if ok && !slices.Contains(addresses, address) && !h.directory.unresponsive(address) {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
 // loadsTimeout bounds the collection of loads from all owners.
 const loadsTimeout = time.Second
 
