A long-running task is available once its host lists it at work

By the log, all that were late had long-running tasks, which left 7.5 s apart in their step, since a replacement counted only after NoticeTime and a second.

Change: a task counts as available while a host that was heard recently lists it at full speed; the report may be so old only that the task can't have been down for NoticeTime.

--- a/internal/coordination/schedule/cordon_test.go
+++ b/internal/coordination/schedule/cordon_test.go
@@ -8,7 +8,7 @@
 )
 
 // startLongRunning starts the waiting tasks and lets them run for longer than
-// Limits.MinReadyTime, with a renewal reply from every host each 500 ms.
+// Limits.NoticeTime, with a renewal reply from every host each 500 ms.
 func (h *harness) startLongRunning(hosts ...worker.ID) []Start {
 	h.Helper()
 	starts, _ := h.plan()
@@ -93,3 +93,54 @@
 		t.Errorf("%d stops; want 1 once there is another host", len(orders.Stops))
 	}
 }
+
+// TestLongRunningLeavesOnceTheLastIsAtWork moves the tasks of a step one after the other.
+// The next one may be stopped as soon as a host lists the last one as at work, but neither
+// while that starts up nor when the hosts were last heard so long ago that another task
+// may be down.
+func TestLongRunningLeavesOnceTheLastIsAtWork(t *testing.T) {
+	h := newHarness(t, "h1", "h2", "h3", "h4")
+	longRunning := testStep(2, 1000)
+	longRunning.LongRunning, longRunning.MaxPerHost, longRunning.MaxUnavailable = true, 1, 1
+	h.add(idA, longRunning)
+	starts := h.startLongRunning("h1", "h2", "h3", "h4")
+	for _, s := range starts {
+		h.pool.Restrict([]worker.ID{s.Target.ID}, UseShortTasks)
+	}
+	_, orders := h.plan()
+	if len(orders.Stops) != 1 {
+		t.Fatalf("%d stops; want 1", len(orders.Stops))
+	}
+	stop := orders.Stops[0]
+	h.pool.Stopped(stop.Target.ID, stop.Order, h.now, nil)
+	h.advance(time.Millisecond)
+	h.renew(stop.Target.ID, 1)
+	moved, _ := h.plan()
+	if len(moved) != 1 {
+		t.Fatalf("%d starts; want 1", len(moved))
+	}
+	h.accept(moved...)
+	reply := func(percent int) {
+		h.renewRunning(moved[0].Target.ID, 1, []worker.ActiveRun{{Task: moved[0].Order.Task, Run: moved[0].Order.Run, Percent: percent}})
+	}
+	stops := func() int {
+		_, orders := h.plan()
+		return len(orders.Stops)
+	}
+	if stops() != 0 {
+		t.Error("the second task was stopped when the first had only been started")
+	}
+	reply(50)
+	if stops() != 0 {
+		t.Error("the second task was stopped while the first was starting up")
+	}
+	reply(100)
+	h.advance(h.pool.limits.NoticeTime - noticeSlack)
+	if stops() != 0 {
+		t.Error("the second task was stopped by an old report on the first")
+	}
+	reply(100)
+	if n := stops(); n != 1 {
+		t.Errorf("%d stops once the first task is at work; want 1", n)
+	}
+}
--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -170,7 +170,7 @@
 			r.checkpoint = row.Checkpoint
 			r.task.checkpoint = row.Checkpoint
 		}
-		r.speed = row.Percent
+		r.speed, r.atWork = row.Percent, row.Percent == fullSpeed
 		if r.state == stateStopping && !r.stopAckedAt.IsZero() && now.Sub(r.stopAckedAt) > stopTimeout {
 			r.stopAckedAt = time.Time{}
 		}
--- a/internal/coordination/schedule/limits.go
+++ b/internal/coordination/schedule/limits.go
@@ -16,9 +16,9 @@
 	CheckpointInterval time.Duration
 	// RemoteDataFactor is the factor by which a task takes longer away from its data.
 	RemoteDataFactor float64
-	// MinReadyTime is how long the replacement of a long-running task must have run before
-	// it counts as available.
-	MinReadyTime time.Duration
+	// NoticeTime is how long a long-running task may be down, for any cause, before it counts
+	// as unavailable; one that an order ended counts at once.
+	NoticeTime time.Duration
 	// EndedJobRetention is how long the state of an ended job can be queried.
 	EndedJobRetention time.Duration
 }
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -147,19 +147,20 @@
 	return unavailable < s.def.MaxUnavailable
 }
 
-// available reports whether a long-running task runs at full speed now, on a host that
-// answers, and was started longer ago than MinReadyTime plus readySlack.
+// available reports whether a host has listed a long-running task as at work, so recently
+// that it can't have been down for NoticeTime meanwhile.
 func (p *Pool) available(t *task, now time.Time) bool {
 	for _, r := range t.runs {
-		if r.state == stateRunning && r.host.confirmed && r.speed == fullSpeed && now.Sub(r.startedAt) > p.limits.MinReadyTime+readySlack {
+		if r.state == stateRunning && r.atWork && r.host.confirmed && now.Sub(r.host.heardAt) < p.limits.NoticeTime-noticeSlack {
 			return true
 		}
 	}
 	return false
 }
 
-// readySlack is added to MinReadyTime to cover a task's start-up.
-const readySlack = time.Second
+// noticeSlack is how long before NoticeTime a report is no longer relied on: it covers the
+// time until an order that depends on it has taken effect.
+const noticeSlack = 1500 * time.Millisecond
 
 // planStops orders the stops that are due, and repeats those without an answer or effect.
 func (p *Pool) planStops(now time.Time, orders *Orders) {
--- a/internal/protocol/settings/job_settings.go
+++ b/internal/protocol/settings/job_settings.go
@@ -59,9 +59,9 @@
 	// HolderLease is how long after an order of one holder another holder must not order
 	// the same machine.
 	HolderLease fleet.Duration `json:"holder-lease,omitempty"`
-	// MinReadyTime is how long the replacement of a long-running task must have run before
-	// it counts as available.
-	MinReadyTime fleet.Duration `json:"notice-time,omitempty"`
+	// NoticeTime is how long a long-running task may be down, for any cause, before it counts
+	// as unavailable.
+	NoticeTime fleet.Duration `json:"notice-time,omitempty"`
 	// CheckpointInterval is the working time between two checkpoints of a task.
 	CheckpointInterval fleet.Duration `json:"checkpoint-every,omitempty"`
 	// EndedJobRetention is how long the state of an ended job can be queried.
@@ -98,7 +98,7 @@
 		Bounds: Bounds{
 			MaxLease: fleet.Duration(10 * time.Second), MoveTime: fleet.Duration(2 * time.Second),
 			MaintenanceTime: fleet.Duration(2 * time.Second), HolderLease: fleet.Duration(3 * time.Second),
-			MinReadyTime:       fleet.Duration(5 * time.Second),
+			NoticeTime:         fleet.Duration(5 * time.Second),
 			CheckpointInterval: fleet.Duration(time.Second), EndedJobRetention: fleet.Duration(2 * time.Minute),
 			RemoteDataFactor: 2, ShutdownGrace: fleet.Duration(6 * time.Second), LostHosts: 2, LostDataCentres: 1,
 		},
