A job counts as waiting until a host has begun a task of it

A queue was said to have 2 waiting jobs while 14 waited: their tasks were placed on hosts of a data centre that was cut off, and a placed task counted as started. Change: waiting jobs are those of which no host is known to have begun a task; an inherited placement says nothing yet. The state that callers see stays as it is.

--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -163,7 +163,7 @@
 			continue
 		}
 		if r.state == stateSending || r.state == stateUnknown || r.state == stateInherited {
-			r.state, r.startedAt, r.unconfirmed = stateRunning, now, false
+			r.state, r.startedAt, r.unconfirmed, r.task.step.job.begun = stateRunning, now, false, true
 			p.stopIfSuperseded(r)
 		}
 		if row.Checkpoint != "" {
@@ -199,7 +199,7 @@
 		sentAt: now, startedAt: now, speed: row.Percent, speedSent: row.Percent,
 	}
 	p.attach(r)
-	e.started = true
+	e.started, e.begun = true, true
 	p.stopIfSuperseded(r)
 	if t.step.def.Gang {
 		t.step.gangRun = max(t.step.gangRun, row.Run)
--- a/internal/coordination/schedule/outcome.go
+++ b/internal/coordination/schedule/outcome.go
@@ -32,7 +32,7 @@
 	if t == nil {
 		return
 	}
-	e.started = true
+	e.started, e.begun = true, true
 	t.lastRun = max(t.lastRun, end.Run)
 	if end.Checkpoint != "" && !t.done() {
 		t.checkpoint = end.Checkpoint
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -225,7 +225,7 @@
 	if err == nil && reply.Refusal == worker.Accepted {
 		h.updateClock(now, reply.Clock)
 		if r.state == stateSending || r.state == stateUnknown {
-			r.state, r.startedAt = stateRunning, now
+			r.state, r.startedAt, r.task.step.job.begun = stateRunning, now, true
 		}
 		return
 	}
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -82,7 +82,7 @@
 	}
 	e := &jobEntry{
 		Job: j, criticalPaths: j.CriticalPaths(), recordedState: j.FinalState(), steps: map[stepKey]*step{},
-		started: j.AnyRunEnded() || len(j.Placements) > 0,
+		started: j.AnyRunEnded() || len(j.Placements) > 0, begun: j.AnyRunEnded(),
 	}
 	p.jobs[j.ID] = e
 	if !e.Ended() {
@@ -165,13 +165,15 @@
 // markDirty marks a job as changed since its last record.
 func (p *Pool) markDirty(e *jobEntry) { p.dirty[e.ID] = e }
 
-// Waiting returns how many jobs of a queue have had no task started and have not ended.
+// Waiting returns how many jobs of a queue have not ended and have no task that a host is
+// known to have begun. A task that is only placed counts as waiting: its host may refuse it or
+// be cut off.
 func (p *Pool) Waiting(queue string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := 0
 	for _, e := range p.openJobs() {
-		if e.Queue == queue && !e.started {
+		if e.Queue == queue && !e.begun {
 			n++
 		}
 	}
--- a/internal/coordination/schedule/task.go
+++ b/internal/coordination/schedule/task.go
@@ -13,8 +13,9 @@
 	*jobs.Job
 	// criticalPaths holds for each step the longest chain of estimates from it on.
 	criticalPaths []time.Duration
-	// started is set once a task has been started, by this owner or an earlier one.
-	started bool
+	// started is set once a task has been placed, by this owner or an earlier one; begun once
+	// a host is known to have run one.
+	started, begun bool
 	// recordedState is the final state that is recorded in the log, or empty.
 	recordedState job.State
 	steps         map[stepKey]*step
