A long-running task leaves only for room that is kept for it

By the log a task was stopped as host-leaves while a host had room for it, but two tasks were stopped for the same room; one did not run for 7 s, another for 13 s, until the end.

Change: the scheduler keeps the room on the host that a task leaves for, until it is placed, its job ends or 4 s have passed. Tests: TestLongRunningLeavesOnlyForRoomOfItsOwn and TestHostsForLongRunningTasks (failed first), TestRoomIsGivenBack.

--- a/internal/coordination/schedule/cordon.go
+++ b/internal/coordination/schedule/cordon.go
@@ -44,9 +44,10 @@
 	return all
 }
 
-// vacant reports whether the host answers and nothing runs on it, unknown runs included.
+// vacant reports whether the host answers and nothing runs on it, unknown runs included, and
+// no room is kept.
 func (h *host) vacant() bool {
-	return len(h.runs) == 0 && len(h.unknownRuns) == 0 && h.confirmed
+	return len(h.runs) == 0 && len(h.unknownRuns) == 0 && len(h.reserved) == 0 && h.confirmed
 }
 
 // cordoned reports whether nothing may be started on the host.
@@ -61,27 +62,36 @@
 			continue
 		}
 		for _, r := range h.runs {
-			if r.state == stateRunning && p.shouldMove(r, h, now) {
+			if r.state != stateRunning {
+				continue
+			}
+			if r.task.step.def.LongRunning {
+				p.moveLongRunning(r, h, now)
+			} else if p.shouldMove(r, h, now) {
 				p.stop(r, "host-leaves")
 			}
 		}
 	}
 }
 
-// shouldMove reports whether a run should leave its host now. A long-running task stays
-// until another host can take it, since it would not run at all in between.
+// shouldMove reports whether a short task should leave its host now.
 func (p *Pool) shouldMove(r *run, h *host, now time.Time) bool {
 	def := r.task.step.def
-	switch {
-	case !def.LongRunning:
-		return (h.report.Draining || h.cordoned()) && def.SavesProgress && !def.Gang && now.Sub(r.startedAt) > p.limits.CheckpointInterval
-	case !h.report.Draining && !p.withinMaxUnavailable(r.task.step, r.task, now):
-		return false
+	return (h.report.Draining || h.cordoned()) && def.SavesProgress && !def.Gang && now.Sub(r.startedAt) > p.limits.CheckpointInterval
+}
+
+// moveLongRunning stops a long-running task if its step allows that and another host has
+// room for it, which is kept for it. Without such a host the task stays, since it would
+// not run at all in between.
+func (p *Pool) moveLongRunning(r *run, h *host, now time.Time) {
+	if !h.report.Draining && !p.withinMaxUnavailable(r.task.step, r.task, now) {
+		return
 	}
 	target := p.bestHost(r.task, now)
-	if target == nil || target == h {
-		return false
-	}
 	// Unless its host is draining or cordoned, it waits for one without restrictions.
-	return target.use == UseAll || h.report.Draining || h.cordoned()
+	if target == nil || target == h || (target.use != UseAll && !h.report.Draining && !h.cordoned()) {
+		return
+	}
+	p.reserve(r.task, target, now)
+	p.stop(r, "host-leaves")
 }
--- a/internal/coordination/schedule/cordon_test.go
+++ b/internal/coordination/schedule/cordon_test.go
@@ -144,3 +144,75 @@
 		t.Errorf("%d stops once the first task is at work; want 1", n)
 	}
 }
+
+// TestLongRunningLeavesOnlyForRoomOfItsOwn restricts the hosts of two tasks that may leave
+// at the same time, while one other host has room for one of them. Only one may be stopped,
+// and no other task may take its room.
+func TestLongRunningLeavesOnlyForRoomOfItsOwn(t *testing.T) {
+	h := newHarness(t, "h1", "h2", "h3")
+	longRunning := testStep(2, 9000)
+	longRunning.LongRunning, longRunning.MaxUnavailable = true, 2
+	h.add(idA, longRunning)
+	starts := h.startLongRunning("h1", "h2", "h3")
+	for _, s := range starts {
+		h.pool.Restrict([]worker.ID{s.Target.ID}, UseNone)
+	}
+	_, orders := h.plan()
+	if len(orders.Stops) != 1 {
+		t.Fatalf("%d of 2 tasks were stopped; only one host has room for one", len(orders.Stops))
+	}
+	h.add(idB, testStep(1, 9000))
+	if others, _ := h.plan(); len(others) != 0 {
+		t.Errorf("starts %v took the room of the task that leaves", taskNames(others))
+	}
+	stop := orders.Stops[0]
+	h.pool.Stopped(stop.Target.ID, stop.Order, h.now, nil)
+	h.advance(time.Millisecond)
+	h.renew(stop.Target.ID, 1)
+	moved, _ := h.plan()
+	h.wantStarts(moved, stop.Order.Task.String())
+}
+
+// TestRoomIsGivenBack cancels the job of a task that leaves: its room must be free again.
+func TestRoomIsGivenBack(t *testing.T) {
+	h := newHarness(t, "h1", "h2")
+	longRunning := testStep(1, 9000)
+	longRunning.LongRunning = true
+	h.add(idA, longRunning)
+	starts := h.startLongRunning("h1", "h2")
+	h.pool.Restrict([]worker.ID{starts[0].Target.ID}, UseNone)
+	if _, orders := h.plan(); len(orders.Stops) != 1 {
+		t.Fatalf("%d stops; want 1", len(orders.Stops))
+	}
+	h.pool.CancelJob(idA, h.now)
+	h.add(idB, testStep(1, 9000))
+	h.plan()
+	next, _ := h.plan()
+	if placed := len(next) + len(h.pool.jobs[idB].steps); placed == 0 {
+		t.Error("nothing was placed in the room of a cancelled task")
+	}
+}
+
+// TestHostsForLongRunningTasks checks the number of hosts that a pool asks for: tasks that
+// take more than a third of a host need one host for two of them, and a task without a host
+// needs one more.
+func TestHostsForLongRunningTasks(t *testing.T) {
+	h := newHarness(t, "h1", "h2", "h3")
+	large := testStep(6, 6500)
+	large.LongRunning, large.MaxPerHost = true, 3
+	h.add(idA, large)
+	if n := h.pool.Load(h.now).SpreadHosts; n != 3 {
+		t.Errorf("%d hosts for 6 tasks of 6.5 of 16 cores; want 3", n)
+	}
+	h.startLongRunning("h1", "h2", "h3")
+	if n := h.pool.Load(h.now).SpreadHosts; n != 3 {
+		t.Errorf("%d hosts for 6 tasks that run; want 3", n)
+	}
+	more := testStep(1, 6500)
+	more.LongRunning = true
+	h.add(idB, more)
+	h.plan()
+	if n := h.pool.Load(h.now).SpreadHosts; n != 4 {
+		t.Errorf("%d hosts with a task that has no room; want 4", n)
+	}
+}
--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -36,8 +36,10 @@
 	// unknownRuns are listed runs of jobs that this owner does not know, with the time when
 	// each was first listed or last ordered to stop.
 	unknownRuns map[runKey]time.Time
-	// used is what the runs reserve of the host's capacity.
+	// used is what the runs and the reserved tasks take of the host's capacity.
 	used worker.Resources
+	// reserved holds the tasks for which room is kept.
+	reserved []*task
 	// startsInFlight counts placed runs whose start is not yet sent or not yet answered.
 	startsInFlight int
 	use            Use
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -38,7 +38,10 @@
 // placeTasks places a step's tasks one by one and reports whether all could be placed.
 func (p *Pool) placeTasks(c candidate, now time.Time, orders *Orders) bool {
 	for _, t := range c.tasks {
-		h := p.bestHost(t, now)
+		h := p.unreserve(t)
+		if h == nil || !p.allowed(t.step, h, now) {
+			h = p.bestHost(t, now)
+		}
 		if h == nil {
 			return false
 		}
@@ -78,7 +81,7 @@
 	if s.def.RequiredLabel != "" && s.def.RequiredLabel != h.report.Kind && s.def.RequiredLabel != h.report.Rack {
 		return false
 	}
-	if s.def.MaxPerHost > 0 && h.stepRuns(s) >= s.def.MaxPerHost {
+	if s.def.MaxPerHost > 0 && h.stepRuns(s)+h.reservedFor(s) >= s.def.MaxPerHost {
 		return false
 	}
 	if s.job.NeedsPlacementCheck {
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -47,6 +47,7 @@
 		return orders
 	}
 	p.expireLeases(now)
+	p.expireReservations(now)
 	p.stopUnneeded(now)
 	p.evacuate(now)
 	p.place(now, &orders)
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -37,6 +37,7 @@
 	open           map[job.ID]*jobEntry
 	dirty          map[job.ID]*jobEntry
 	unacknowledged map[worker.ID]*host
+	reservations   map[*task]reservation
 	hosts          map[worker.ID]*host
 	// fenced is set once a host has accepted the fencing token of a later owner.
 	fenced    bool
@@ -51,7 +52,8 @@
 		checksCapacity:  true,
 		jobs:            map[job.ID]*jobEntry{}, hosts: map[worker.ID]*host{},
 		open: map[job.ID]*jobEntry{}, dirty: map[job.ID]*jobEntry{}, unacknowledged: map[worker.ID]*host{},
-		estimates: estimates{},
+		reservations: map[*task]reservation{},
+		estimates:    estimates{},
 	}
 }
 
