--- a/internal/coordination/schedule/pacer.go
+++ b/internal/coordination/schedule/pacer.go
@@ -8,7 +8,7 @@
 const (
 	// planShare is the largest share of the time that plans of one pool may take. It answers
 	// the load of a pool with hundreds of events a second, each of which asks for a plan.
-	planShare = 0.2
+	planShare = 0.1
 	// maxPlanPause bounds the pause after a plan, so that a plan which was itself delayed
 	// does not delay the next one for long.
 	maxPlanPause = 100 * time.Millisecond
