Stops of a former owner count, and a full log formats nothing

Change: an inherited run counts as at work only by a list that was requested later than any stop of the former owner can last (setting stop-time, from the platform). Test: TestFormerOwnersStopsCount, failed first.

Test: TestFullLogFormatsNothing.

--- a/internal/coordination/schedule/cordon_test.go
+++ b/internal/coordination/schedule/cordon_test.go
@@ -216,3 +216,31 @@
 		t.Errorf("%d hosts with a task that has no room; want 4", n)
 	}
 }
+
+// TestFormerOwnersStopsCount takes a step over from an owner that has just stopped one of
+// its tasks, which the host still lists as at work. No other task may be stopped before a
+// list shows what is left after that stop.
+func TestFormerOwnersStopsCount(t *testing.T) {
+	h := newHarness(t)
+	longRunning := testStep(2, 1000)
+	longRunning.LongRunning, longRunning.MaxPerHost, longRunning.MaxUnavailable = true, 1, 1
+	h.list("h1", "h2", "h3", "h4")
+	h.renew("h3", 1)
+	h.renew("h4", 1)
+	h.add(idA, longRunning)
+	listed := func(index int) []worker.ActiveRun {
+		return []worker.ActiveRun{{Task: worker.TaskName{Job: idA, Index: index}, Run: 5, Percent: 100}}
+	}
+	h.renewRunning("h1", 1, listed(0))
+	h.renewRunning("h2", 1, listed(1))
+	h.pool.Restrict([]worker.ID{"h1", "h2"}, UseShortTasks)
+	if _, orders := h.plan(); len(orders.Stops) != 0 {
+		t.Error("a task was stopped by the first list, which may show another one that is being stopped")
+	}
+	h.advance(h.pool.limits.StopTime)
+	h.renewRunning("h1", 1, listed(0))
+	h.renewRunning("h2", 1, listed(1))
+	if _, orders := h.plan(); len(orders.Stops) != 1 {
+		t.Errorf("%d stops once the lists are later than any stop of the former owner; want 1", len(orders.Stops))
+	}
+}
--- a/internal/coordination/schedule/harness_test.go
+++ b/internal/coordination/schedule/harness_test.go
@@ -31,7 +31,7 @@
 	t.Helper()
 	limits := Limits{
 		Lease: 5 * time.Second, MaxLease: 10 * time.Second, MaxUnconfirmed: 6 * time.Second, RenewalWait: time.Second,
-		CheckpointInterval: 500 * time.Millisecond, NoticeTime: 4500 * time.Millisecond, EndedJobRetention: time.Minute,
+		CheckpointInterval: 500 * time.Millisecond, NoticeTime: 4500 * time.Millisecond, StopTime: 400 * time.Millisecond, EndedJobRetention: time.Minute,
 	}
 	h := &harness{T: t, pool: New("maps", 7, limits, epoch, discardEvents{}), now: epoch, ends: map[worker.ID]int64{}}
 	h.list(hosts...)
--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -80,10 +80,10 @@
 	if !h.confirmed {
 		p.events.Event("host-answers", "host", id, "pool", p.name, "life", reply.Incarnation, "running", len(reply.Running), "ended", len(reply.Ended))
 	}
-	if !h.contacted {
+	if h.contactedAt.IsZero() {
 		// The worker now refuses earlier owners, so the last lease that can still be in
 		// force is one that the previous owner granted just before.
-		h.contacted = true
+		h.contactedAt = now
 		h.expiry = earlier(h.expiry, now.Add(p.limits.maxLeaseDuration()))
 	}
 	h.confirmed = true
@@ -92,7 +92,7 @@
 	for n := range reply.Ended {
 		p.applyEndedRun(h, &reply.Ended[n], now)
 	}
-	p.applyActiveRuns(h, reply.Running, now)
+	p.applyActiveRuns(h, reply.Running, sent, now)
 	if len(reply.Ended) < maxEndsPerReply {
 		p.reconcileMissing(h, reply.Running, sent, now)
 	}
@@ -151,8 +151,10 @@
 	}
 }
 
-// applyActiveRuns applies a worker's list of running runs.
-func (p *Pool) applyActiveRuns(h *host, rows []worker.ActiveRun, now time.Time) {
+// applyActiveRuns applies a worker's list of running runs, which was requested at sent.
+func (p *Pool) applyActiveRuns(h *host, rows []worker.ActiveRun, sent, now time.Time) {
+	// Until then the list may show a run that a former owner has stopped.
+	formerStops := h.contactedAt.Add(p.limits.StopTime)
 	for n := range rows {
 		row := &rows[n]
 		r, ok := h.runs[runKey{row.Task, row.Run}]
@@ -170,7 +172,7 @@
 			r.checkpoint = row.Checkpoint
 			r.task.checkpoint = row.Checkpoint
 		}
-		r.speed, r.atWork = row.Percent, row.Percent == fullSpeed
+		r.speed, r.atWork = row.Percent, row.Percent == fullSpeed && (!r.adopted || !sent.Before(formerStops))
 		if r.state == stateStopping && !r.stopAckedAt.IsZero() && now.Sub(r.stopAckedAt) > stopTimeout {
 			r.stopAckedAt = time.Time{}
 		}
--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -15,8 +15,8 @@
 	// is started on the host otherwise.
 	confirmed   bool
 	incarnation worker.Incarnation
-	// contacted is set once the worker has answered this owner.
-	contacted bool
+	// contactedAt is when the worker first answered this owner, zero before.
+	contactedAt time.Time
 	// clock is the worker's clock reading from its last answer, which came at clockAt.
 	clock   time.Duration
 	clockAt time.Time
--- a/internal/coordination/schedule/limits.go
+++ b/internal/coordination/schedule/limits.go
@@ -19,6 +19,8 @@
 	// NoticeTime is how long a long-running task may be down, for any cause, before it counts
 	// as unavailable; one that an order ended counts at once.
 	NoticeTime time.Duration
+	// StopTime is how long a worker may take to end a run that it was ordered to stop.
+	StopTime time.Duration
 	// EndedJobRetention is how long the state of an ended job can be queried.
 	EndedJobRetention time.Duration
 }
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -239,7 +239,7 @@
 		Resources: resources, Losses: candidacy.Losses{Hosts: 1, DataCentres: 1},
 		Limits: schedule.Limits{
 			Lease: 5 * time.Second, MaxLease: maxLease, MaxUnconfirmed: 6 * time.Second, RenewalWait: 1500 * time.Millisecond,
-			CheckpointInterval: checkpointInterval, RemoteDataFactor: 2, NoticeTime: 4500 * time.Millisecond,
+			CheckpointInterval: checkpointInterval, RemoteDataFactor: 2, NoticeTime: 4500 * time.Millisecond, StopTime: stopTime,
 			EndedJobRetention: 2 * time.Minute,
 		},
 		Capacity: jobhost.Capacity{
--- a/internal/eventlog/bounded.go
+++ b/internal/eventlog/bounded.go
@@ -10,6 +10,10 @@
 const (
 	// maxQueuedLines is how many lines may wait for a slow underlying writer.
 	maxQueuedLines = 2048
+	// minLineBytes is the length of a short line.
+	minLineBytes = 128
+	// maxChunkBytes is the size from which queued lines are written without gathering more.
+	maxChunkBytes = 16 << 10
 	// dropReportInterval is the minimum time between two lines that report how many
 	// lines were dropped.
 	dropReportInterval = time.Second
@@ -40,14 +44,33 @@
 	return b
 }
 
-// Write queues a line, or drops and counts it. It never returns an error.
-func (b *BoundedWriter) Write(line []byte) (int, error) {
+// DropIfFull reports whether a line would be dropped now, whatever its length, and counts it
+// if so. It saves its caller the formatting of lines that nobody reads.
+func (b *BoundedWriter) DropIfFull() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
+	b.renewWindow(time.Now())
+	if !b.closed && b.windowBytes+minLineBytes <= b.bytesPerSecond {
+		return false
+	}
+	b.dropped++
+	return true
+}
+
+// renewWindow begins a new second of the rate limit if the last one is over. The lock is
+// held.
+func (b *BoundedWriter) renewWindow(now time.Time) {
 	if now.Sub(b.windowStart) >= time.Second {
 		b.windowStart, b.windowBytes = now, 0
 	}
+}
+
+// Write queues a line, or drops and counts it. It never returns an error.
+func (b *BoundedWriter) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	b.renewWindow(now)
 	if b.closed || b.windowBytes+len(line) > b.bytesPerSecond {
 		b.dropped++
 		return len(line), nil
@@ -72,8 +95,12 @@
 func (b *BoundedWriter) run() {
 	defer close(b.done)
 	for line := range b.lines {
+		chunk := line
+		for len(chunk) < maxChunkBytes && len(b.lines) > 0 {
+			chunk = append(chunk, <-b.lines...)
+		}
 		// An error here can't be reported: it would have to go to this log.
-		_, _ = b.w.Write(line)
+		_, _ = b.w.Write(chunk)
 	}
 }
 
--- a/internal/eventlog/bounded_test.go
+++ b/internal/eventlog/bounded_test.go
@@ -62,3 +62,41 @@
 		}
 	})
 }
+
+// TestFullLogFormatsNothing fills the rate and logs on: the lines must be counted as
+// dropped, and the events counted, without being formatted.
+func TestFullLogFormatsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		b := NewBoundedWriter(&out, minLineBytes)
+		log, err := New(b, "info")
+		if err != nil {
+			t.Fatal(err)
+		}
+		formatted := 0
+		log.Event("job-taken", "job", formatCounter{&formatted})
+		for range 10 {
+			log.Event("job-taken", "job", formatCounter{&formatted})
+		}
+		if formatted > 1 {
+			t.Errorf("%d lines were formatted; want 1", formatted)
+		}
+		if got := log.Counts()["job-taken"]; got != 11 {
+			t.Errorf("%d events counted; want 11", got)
+		}
+		time.Sleep(2 * time.Second)
+		log.Event("x")
+		b.Close()
+		if !strings.Contains(out.String(), "lines-left-out count=10") {
+			t.Errorf("log %q does not report 10 lines as dropped", out.String())
+		}
+	})
+}
+
+// formatCounter counts how often it is formatted.
+type formatCounter struct{ formatted *int }
+
+func (c formatCounter) String() string {
+	*c.formatted++
+	return "x"
+}
--- a/internal/eventlog/event_log.go
+++ b/internal/eventlog/event_log.go
@@ -14,11 +14,19 @@
 // Log writes events and counts them by name.
 type Log struct {
 	logger *logrus.Logger
+	// limiter is the log's writer if that drops lines, or nil.
+	limiter limiter
 
 	mu     sync.Mutex
 	counts map[string]int64
 }
 
+// limiter is a writer that drops lines over a rate.
+type limiter interface {
+	// DropIfFull counts a line as dropped if it would be.
+	DropIfFull() bool
+}
+
 // Counts returns how often each event occurred, including those below the log level and
 // those whose lines were dropped.
 func (l *Log) Counts() map[string]int64 {
@@ -57,7 +65,9 @@
 	logger.SetOutput(w)
 	logger.SetLevel(parsed)
 	logger.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: timeFormat})
-	return &Log{logger: logger, counts: map[string]int64{}}, nil
+	l := &Log{logger: logger, counts: map[string]int64{}}
+	l.limiter, _ = w.(limiter)
+	return l, nil
 }
 
 // Event counts an event and writes it as one line: its name and its pairs of keys and
@@ -70,7 +80,10 @@
 	if !ok {
 		level = logrus.InfoLevel
 	}
-	fields := logrus.Fields{}
+	if !l.logger.IsLevelEnabled(level) || (l.limiter != nil && l.limiter.DropIfFull()) {
+		return
+	}
+	fields := make(logrus.Fields, len(pairs)/2)
 	for n := 0; n+1 < len(pairs); n += 2 {
 		fields[fmt.Sprint(pairs[n])] = pairs[n+1]
 	}
--- a/internal/protocol/settings/job_settings.go
+++ b/internal/protocol/settings/job_settings.go
@@ -62,6 +62,8 @@
 	// NoticeTime is how long a long-running task may be down, for any cause, before it counts
 	// as unavailable.
 	NoticeTime fleet.Duration `json:"notice-time,omitempty"`
+	// StopTime is how long a worker may take to end a run that it was ordered to stop.
+	StopTime fleet.Duration `json:"stop-time,omitempty"`
 	// CheckpointInterval is the working time between two checkpoints of a task.
 	CheckpointInterval fleet.Duration `json:"checkpoint-every,omitempty"`
 	// EndedJobRetention is how long the state of an ended job can be queried.
@@ -99,6 +101,7 @@
 			MaxLease: fleet.Duration(10 * time.Second), MoveTime: fleet.Duration(2 * time.Second),
 			MaintenanceTime: fleet.Duration(2 * time.Second), HolderLease: fleet.Duration(3 * time.Second),
 			NoticeTime:         fleet.Duration(5 * time.Second),
+			StopTime:           fleet.Duration(time.Second),
 			CheckpointInterval: fleet.Duration(time.Second), EndedJobRetention: fleet.Duration(2 * time.Minute),
 			RemoteDataFactor: 2, ShutdownGrace: fleet.Duration(6 * time.Second), LostHosts: 2, LostDataCentres: 1,
 		},
