Collect garbage half as often

Cause: 9 to 13 % of an owner's processor time in a profile of its calls went to the garbage collector, with a live heap of a few MB. Change: 200 % garbage before a collection, below the memory limit as before.

--- a/internal/cmd/serve_jobs.go
+++ b/internal/cmd/serve_jobs.go
@@ -65,6 +65,9 @@
 	// memoryLimitFraction is the fraction of the process's memory limit that is set as the
 	// soft limit of the Go runtime, above which garbage is collected more often.
 	memoryLimitFraction = 0.8
+	// gcPercent is how much garbage may come on top of the live heap, in per cent. Most of an
+	// owner's memory is short-lived, and collecting it takes time from starts.
+	gcPercent = 200
 	// minDrainTime is the shortest time to keep serving during a shutdown: the balancer
 	// needs that long to notice that it must send no more callers here.
 	minDrainTime = 2500 * time.Millisecond
@@ -104,6 +107,7 @@
 	if err != nil {
 		return &exitError{exitUsage, err}
 	}
+	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(loaded.Process.MemoryMB) * (1 << 20)))
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
