--- a/internal/coordination/schedule/bench_test.go
+++ b/internal/coordination/schedule/bench_test.go
@@ -41,7 +41,7 @@
 }
 
 func BenchmarkPlan(b *testing.B) {
-	for _, size := range []struct{ hosts, waiting int }{{3, 10}, {10, 30}, {30, 100}, {100, 300}} {
+	for _, size := range []struct{ hosts, waiting int }{{3, 10}, {10, 30}, {30, 100}, {100, 300}, {250, 1000}} {
 		b.Run(fmt.Sprintf("hosts-%d/waiting-%d", size.hosts, size.waiting), func(b *testing.B) {
 			p, now := loadedPool(b, size.hosts, size.waiting)
 			b.ReportAllocs()
@@ -53,32 +53,78 @@
 }
 
 func BenchmarkLoad(b *testing.B) {
-	p, now := loadedPool(b, 30, 100)
-	b.ReportAllocs()
-	for b.Loop() {
-		p.Load(now)
+	for _, hosts := range []int{30, 100, 250} {
+		b.Run(fmt.Sprintf("hosts-%d", hosts), func(b *testing.B) {
+			p, now := loadedPool(b, hosts, 100)
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Load(now)
+			}
+		})
 	}
 }
 
+// BenchmarkRecord takes the change of one job out of many that are kept.
 func BenchmarkRecord(b *testing.B) {
-	p, _ := loadedPool(b, 30, 100)
-	bytes := 0
-	for b.Loop() {
-		p.mu.Lock()
-		for _, e := range p.jobs {
-			if e.liveRuns > 0 {
-				p.markDirty(e)
-				break
+	for _, kept := range []int{220, 1000, 5000} {
+		b.Run(fmt.Sprintf("jobs-%d", kept), func(b *testing.B) {
+			p, _ := loadedPool(b, 30, kept-4*30)
+			var changed *jobEntry
+			for _, e := range p.jobs {
+				if e.liveRuns > 0 {
+					changed = e
+					break
+				}
+			}
+			bytes := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				p.markDirty(changed)
+				u, err := p.TakeUnrecorded()
+				if err != nil {
+					b.Fatal(err)
+				}
+				for _, data := range u.Progress {
+					bytes = len(data)
+				}
+			}
+			b.ReportMetric(float64(bytes), "record-bytes")
+		})
+	}
+}
+
+// BenchmarkRenewal applies the reply of one host that lists its four runs.
+func BenchmarkRenewal(b *testing.B) {
+	for _, hosts := range []int{30, 100, 250} {
+		b.Run(fmt.Sprintf("hosts-%d", hosts), func(b *testing.B) {
+			p, now := loadedPool(b, hosts, 100)
+			var rows []worker.ActiveRun
+			for _, r := range p.hosts["h000"].runs {
+				rows = append(rows, worker.ActiveRun{Task: r.name, Run: r.number, Percent: fullSpeed, Usage: 1})
 			}
-		}
-		p.mu.Unlock()
-		u, err := p.TakeUnrecorded()
-		if err != nil {
-			b.Fatal(err)
-		}
-		for _, data := range u.Progress {
-			bytes = len(data)
-		}
+			clock := time.Second
+			b.ReportAllocs()
+			for b.Loop() {
+				clock += time.Millisecond
+				p.ApplyRenewal("h000", now, now, worker.RenewalReply{Clock: clock, Incarnation: 1, Running: rows})
+			}
+		})
+	}
+}
+
+// BenchmarkSetHosts applies the reports of all hosts when one has changed.
+func BenchmarkSetHosts(b *testing.B) {
+	for _, hosts := range []int{30, 100, 250} {
+		b.Run(fmt.Sprintf("hosts-%d", hosts), func(b *testing.B) {
+			p, now := loadedPool(b, hosts, 100)
+			var reports []worker.Report
+			for _, h := range p.hosts {
+				reports = append(reports, h.report)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				p.SetHosts(reports, now)
+			}
+		})
 	}
-	b.ReportMetric(float64(bytes), "record-bytes")
 }
