After a restart of all, alike hosts own at once

After a restart of all the list names the former members until they expire, so hosts found enough owners, counted their start as over, and then waited for their share of the delay. Change: the start is over only after 2 s; until then a host that knows of no stronger ones stands as soon as a partition has no owner, and the list is read each 0.2 s. Test: TestRestartOfAll (failed first).

--- a/internal/coordination/candidacy/candidacy.go
+++ b/internal/coordination/candidacy/candidacy.go
@@ -19,6 +19,9 @@
 	// time after its start. Smaller hosts wait longer in proportion, so that the strongest
 	// hosts of a site that starts as a whole own the partitions first.
 	coreStartDelay = 150 * time.Millisecond
+	// settleTime is how long after a start the list may still name members of before, if many
+	// hosts have started together; a host without stronger ones then stands without delay.
+	settleTime = 2 * time.Second
 	// spread is the longest additional wait before any later change, chosen by the host's
 	// name, so that hosts change one after the other and see what the others did.
 	spread = 2 * time.Second
@@ -97,7 +100,7 @@
 	started  time.Time
 
 	stands bool
-	// settled is set once the first decision after the start has been made.
+	// settled is set once settleTime has passed since the start, or the host has stood.
 	settled bool
 	// standby is set once a stronger owner was seen.
 	standby bool
@@ -122,6 +125,9 @@
 // Stands reports whether the host stands, and why.
 func (c *Candidate) Stands() (bool, Reason) { return c.stands, c.reason }
 
+// Settled reports whether the start of the host is over, so that the list may be read less often.
+func (c *Candidate) Settled() bool { return c.settled }
+
 // Decide updates the candidacy and reports whether it has changed.
 func (c *Candidate) Decide(view View, now time.Time) bool {
 	if now.Before(c.started.Add(c.startDelay())) || (!c.settled && view.ReadAt.Before(c.started.Add(c.startDelay()))) {
@@ -135,7 +141,8 @@
 	}
 	stand, reason := c.assess(view)
 	if stand == c.stands {
-		c.settled, c.pending, c.reason = true, false, reason
+		c.settled = c.settled || now.Sub(c.started) >= settleTime
+		c.pending, c.reason = false, reason
 		return false
 	}
 	if !c.pending {
--- a/internal/coordination/candidacy/candidacy_test.go
+++ b/internal/coordination/candidacy/candidacy_test.go
@@ -135,3 +135,22 @@
 		}
 	}
 }
+
+// TestRestartOfAll restarts alike hosts while the list still names their former members:
+// they must stand as soon as these have expired. A host that knows of stronger ones waits.
+func TestRestartOfAll(t *testing.T) {
+	const expiry = 1200 * time.Millisecond
+	restart := func(former Capacity) time.Duration {
+		c := New("h", weak, losses, epoch)
+		if after := settle(c, View{Owners: owners(partitions, 3, former), Partitions: partitions}, epoch, expiry); after >= 0 {
+			t.Errorf("stood %s after the start, beside former members", after)
+		}
+		return settle(c, View{Unowned: partitions, Partitions: partitions}, epoch.Add(expiry), 10*time.Second)
+	}
+	if after := restart(weak); after != 0 {
+		t.Errorf("an alike host stands %s after the former members have expired; want at once", after)
+	}
+	if after := restart(strong); after < 500*time.Millisecond {
+		t.Errorf("a weak host stands %s after the strong members have expired; want it to wait for them", after)
+	}
+}
--- a/internal/jobhost/candidacy.go
+++ b/internal/jobhost/candidacy.go
@@ -13,6 +13,8 @@
 const (
 	// candidacyInterval is how often the candidacy is decided.
 	candidacyInterval = 100 * time.Millisecond
+	// startingListAge is the same while the host starts, when owners change quickly.
+	startingListAge = 200 * time.Millisecond
 	// candidacyListAge is the age at which the list of owners is read again by a host that does
 	// not stand, or while the list is not complete.
 	candidacyListAge = 1500 * time.Millisecond
@@ -57,10 +59,13 @@
 // listAge returns the age at which the list of owners is to be read again.
 func (l *candidacyLoop) listAge() time.Duration {
 	view := l.host.directory.ownersView()
-	stands, reason := l.stands()
+	l.mu.Lock()
+	stands, _ := l.candidate.Stands()
+	settled := l.candidate.Settled()
+	l.mu.Unlock()
 	switch {
-	case reason == candidacy.ReasonStarting:
-		return candidacyInterval
+	case !settled:
+		return startingListAge
 	case stands && view.Unowned == 0 && len(view.Owners) > 0:
 		return idleOwnersMaxAge
 	default:
