A busy owner is asked again, and an unreadable peer is passed over

Cause: found in reading. An owner that was too busy to give its pool's load in time counted as silent for a second, in which its pool got no hosts; and a peer whose member name does not say its capacity counted as one more owner. With a platform whose notice time is below 1.5 s no long-running task would ever have counted as available. Change: the load is asked for again with the next plan; such a peer is logged and passed over; the age of a report is at least half of the notice time.

--- a/internal/coordination/schedule/cordon_test.go
+++ b/internal/coordination/schedule/cordon_test.go
@@ -135,7 +135,7 @@
 		t.Error("the second task was stopped while the first was starting up")
 	}
 	reply(100)
-	h.advance(h.pool.limits.NoticeTime - noticeSlack)
+	h.advance(h.pool.limits.maxReportAge())
 	if stops() != 0 {
 		t.Error("the second task was stopped by an old report on the first")
 	}
--- a/internal/coordination/schedule/limits.go
+++ b/internal/coordination/schedule/limits.go
@@ -32,7 +32,15 @@
 	return time.Duration(float64(longest)/(1-maxClockDrift)) + leaseSlack
 }
 
+// maxReportAge returns the age up to which a host's report says that its long-running tasks
+// are available: they can't have been down for NoticeTime meanwhile.
+func (l *Limits) maxReportAge() time.Duration {
+	return max(l.NoticeTime/2, l.NoticeTime-noticeSlack)
+}
+
 const (
+	// noticeSlack covers the time until an order that depends on a report has taken effect.
+	noticeSlack = 1500 * time.Millisecond
 	// maxClockDrift is the share by which a host's clock may run slower than the local
 	// one, from the workers' contract.
 	maxClockDrift = 0.02
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -152,17 +152,13 @@
 // that it can't have been down for NoticeTime meanwhile.
 func (p *Pool) available(t *task, now time.Time) bool {
 	for _, r := range t.runs {
-		if r.state == stateRunning && r.atWork && r.host.confirmed && now.Sub(r.host.heardAt) < p.limits.NoticeTime-noticeSlack {
+		if r.state == stateRunning && r.atWork && r.host.confirmed && now.Sub(r.host.heardAt) < p.limits.maxReportAge() {
 			return true
 		}
 	}
 	return false
 }
 
-// noticeSlack is how long before NoticeTime a report is no longer relied on: it covers the
-// time until an order that depends on it has taken effect.
-const noticeSlack = 1500 * time.Millisecond
-
 // planStops orders the stops that are due, and repeats those without an answer or effect.
 func (p *Pool) planStops(now time.Time, orders *Orders) {
 	for id, h := range p.hosts {
--- a/internal/jobhost/candidacy.go
+++ b/internal/jobhost/candidacy.go
@@ -96,8 +96,13 @@
 	return view
 }
 
-// noteStanding notes that a peer stands for ownership.
+// noteStanding notes that a peer stands for ownership, unless its name does not say its
+// capacity.
 func (l *candidacyLoop) noteStanding(member string, now time.Time) {
+	if ownerFromMember(member).Capacity == (candidacy.Capacity{}) {
+		l.host.events.Event("peer-unreadable", "call", "standing", "member", member)
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if _, ok := l.standing[member]; ok || len(l.standing) < maxStanding {
--- a/internal/jobhost/loads.go
+++ b/internal/jobhost/loads.go
@@ -76,7 +76,7 @@
 		go func() {
 			reply, err := h.peers.Load(ctx, address)
 			if err != nil {
-				h.directory.markUnresponsive(address)
+				h.directory.invalidate()
 				h.events.Event("peer-silent", "peer", address, "call", "load", "error", err)
 			}
 			replies <- reply
@@ -90,8 +90,8 @@
 	return found
 }
 
-// poolOwners returns the addresses of the other entry hosts that own a configured pool,
-// without those that did not answer recently.
+// poolOwners returns the addresses of the other entry hosts that own a configured pool. One
+// that did not answer is asked again: it may be busy, and its pool short of hosts.
 func (h *JobHost) poolOwners(ctx context.Context, config *queue.Configuration) []netip.AddrPort {
 	var addresses []netip.AddrPort
 	for n := range config.Pools {
@@ -99,7 +99,7 @@
 			continue
 		}
 		address, ok := h.directory.ownerOf(ctx, config.Pools[n].Name)
-		if ok && !slices.Contains(addresses, address) && !h.directory.unresponsive(address) {
+		if ok && !slices.Contains(addresses, address) {
 			addresses = append(addresses, address)
 		}
 	}
