--- a/internal/coordination/candidacy/candidacy.go
+++ b/internal/coordination/candidacy/candidacy.go
@@ -128,9 +128,12 @@
 // Settled reports whether the start of the host is over, so that the list may be read less often.
 func (c *Candidate) Settled() bool { return c.settled }
 
+// Waits reports whether the host still gives stronger ones the time to come first.
+func (c *Candidate) Waits(now time.Time) bool { return now.Before(c.started.Add(c.startDelay())) }
+
 // Decide updates the candidacy and reports whether it has changed.
 func (c *Candidate) Decide(view View, now time.Time) bool {
-	if now.Before(c.started.Add(c.startDelay())) || (!c.settled && view.ReadAt.Before(c.started.Add(c.startDelay()))) {
+	if c.Waits(now) || (!c.settled && view.ReadAt.Before(c.started.Add(c.startDelay()))) {
 		return false
 	}
 	c.standby = c.standby || c.hasStronger(view)
--- a/internal/jobhost/candidacy.go
+++ b/internal/jobhost/candidacy.go
@@ -13,8 +13,9 @@
 const (
 	// candidacyInterval is how often the candidacy is decided.
 	candidacyInterval = 100 * time.Millisecond
-	// startingListAge is the same while the host starts, when owners change quickly.
-	startingListAge = 200 * time.Millisecond
+	// startingListAge is the age at which the list of owners is read again while the host
+	// starts. All hosts of a site may start together, and share the log's rate of reads.
+	startingListAge = 500 * time.Millisecond
 	// candidacyListAge is the age at which the list of owners is read again by a host that does
 	// not stand, or while the list is not complete.
 	candidacyListAge = 1500 * time.Millisecond
@@ -49,13 +50,22 @@
 // run decides until ctx ends or the host drains.
 func (l *candidacyLoop) run(ctx context.Context) {
 	for ctx.Err() == nil && !l.host.draining.Load() {
-		l.host.directory.refresh(ctx, l.listAge())
-		l.decide(ctx)
+		if !l.waits() {
+			l.host.directory.refresh(ctx, l.listAge())
+			l.decide(ctx)
+		}
 		l.announce(ctx)
 		wait(ctx, candidacyInterval)
 	}
 }
 
+// waits reports whether it is too early after the start to decide.
+func (l *candidacyLoop) waits() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.candidate.Waits(l.host.now())
+}
+
 // listAge returns the age at which the list of owners is to be read again.
 func (l *candidacyLoop) listAge() time.Duration {
 	view := l.host.directory.ownersView()
