--- a/internal/coordination/candidacy/candidacy.go
+++ b/internal/coordination/candidacy/candidacy.go
@@ -22,7 +22,7 @@
 	// settleTime is how long after a start the list may still name members of before, if many
 	// hosts have started together; a host without stronger ones then stands without delay.
 	settleTime = 2 * time.Second
-	// spread is the longest additional wait before any later change, chosen by the host's
+	// spread is the longest additional wait before any later change. It differs by the host's
 	// name, so that hosts change one after the other and see what the others did.
 	spread = 2 * time.Second
 	// stepBackAfter is how long stronger owners must have sufficed before a host steps back.
--- a/internal/coordination/owner/keeper.go
+++ b/internal/coordination/owner/keeper.go
@@ -83,6 +83,11 @@
 	k.mu.Lock()
 	k.stands = true
 	k.mu.Unlock()
+	k.wake()
+}
+
+// wake makes Run look at once whether the membership is wanted.
+func (k *Keeper) wake() {
 	select {
 	case k.changed <- struct{}{}:
 	default:
@@ -251,10 +256,7 @@
 	for _, p := range held {
 		k.holder.Release(p)
 	}
-	select {
-	case k.changed <- struct{}{}:
-	default:
-	}
+	k.wake()
 	if !member {
 		return nil
 	}
--- a/internal/coordination/schedule/cordon_test.go
+++ b/internal/coordination/schedule/cordon_test.go
@@ -26,6 +26,13 @@
 	return starts
 }
 
+// carryOut answers a stop and delivers a reply without the stopped run.
+func (h *harness) carryOut(stop Stop) {
+	h.pool.Stopped(stop.Target.ID, stop.Order, h.now, nil)
+	h.advance(time.Millisecond)
+	h.renew(stop.Target.ID, 1)
+}
+
 // TestLongRunningLeavesOneAtATime cordons the hosts of both tasks of a step at once. Only one
 // may be stopped at a time, within the step's MaxUnavailable.
 func TestLongRunningLeavesOneAtATime(t *testing.T) {
@@ -63,9 +70,7 @@
 		t.Fatalf("%d of 2 tasks were stopped at once; at most 1 may be unavailable", len(orders.Stops))
 	}
 	stop := orders.Stops[0]
-	h.pool.Stopped(stop.Target.ID, stop.Order, h.now, nil)
-	h.advance(time.Millisecond)
-	h.renew(stop.Target.ID, 1)
+	h.carryOut(stop)
 	starts, _ := h.plan()
 	if len(starts) != 1 || starts[0].Target.ID != "h3" {
 		t.Errorf("starts %v; want the task on h3", starts)
@@ -112,9 +117,7 @@
 		t.Fatalf("%d stops; want 1", len(orders.Stops))
 	}
 	stop := orders.Stops[0]
-	h.pool.Stopped(stop.Target.ID, stop.Order, h.now, nil)
-	h.advance(time.Millisecond)
-	h.renew(stop.Target.ID, 1)
+	h.carryOut(stop)
 	moved, _ := h.plan()
 	if len(moved) != 1 {
 		t.Fatalf("%d starts; want 1", len(moved))
@@ -166,9 +169,7 @@
 		t.Errorf("starts %v took the room of the task that leaves", taskNames(others))
 	}
 	stop := orders.Stops[0]
-	h.pool.Stopped(stop.Target.ID, stop.Order, h.now, nil)
-	h.advance(time.Millisecond)
-	h.renew(stop.Target.ID, 1)
+	h.carryOut(stop)
 	moved, _ := h.plan()
 	h.wantStarts(moved, stop.Order.Task.String())
 }
--- a/internal/coordination/schedule/pack.go
+++ b/internal/coordination/schedule/pack.go
@@ -50,3 +50,51 @@
 	perHost := t.step.def.MaxPerHost
 	return t.needs.Fits(h.free) && (perHost == 0 || h.tasks[t.step] < perHost)
 }
+
+// longRunningTasks appends the long-running tasks of an occurrence, and those of them that
+// neither run nor have room reserved.
+func (p *Pool) longRunningTasks(all, homeless []packedTask, e *jobEntry, occurrence int) (_, _ []packedTask) {
+	for number := range e.Steps {
+		if !e.Steps[number].LongRunning {
+			continue
+		}
+		s := e.step(occurrence, number)
+		for _, t := range s.tasks {
+			item := packedTask{s, s.def.Reserved()}
+			all = append(all, item)
+			if _, reserved := p.reservations[t]; len(t.runs) == 0 && !reserved {
+				homeless = append(homeless, item)
+			}
+		}
+	}
+	return all, homeless
+}
+
+// largestHost returns the largest capacity of the pool's listed hosts.
+func (p *Pool) largestHost() worker.Resources {
+	var largest worker.Resources
+	for _, h := range p.hosts {
+		if c := h.report.Capacity; h.listed {
+			largest.CPU, largest.MemoryMB = max(largest.CPU, c.CPU), max(largest.MemoryMB, c.MemoryMB)
+			largest.Accelerators = max(largest.Accelerators, c.Accelerators)
+		}
+	}
+	return largest
+}
+
+// hostsWithLongRunning counts the hosts with long-running tasks that stay in the pool.
+func (p *Pool) hostsWithLongRunning() int {
+	n := 0
+	for _, h := range p.hosts {
+		if h.cordoned() || !h.listed {
+			continue
+		}
+		for _, r := range h.runs {
+			if r.task.step.def.LongRunning {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
--- a/internal/jobhost/candidacy.go
+++ b/internal/jobhost/candidacy.go
@@ -19,8 +19,8 @@
 	// candidacyListAge is the age at which the list of owners is read again by a host that does
 	// not stand, or while the list is not complete.
 	candidacyListAge = 1500 * time.Millisecond
-	// announceInterval is how often a host that stands and owns nothing tells weaker owners,
-	// and standingMaxAge how long they count it as one more owner.
+	// announceInterval is how often a host that stands and owns nothing announces itself to
+	// weaker owners, and standingMaxAge how long they count it as one more owner.
 	announceInterval = 2 * time.Second
 	standingMaxAge   = 5 * time.Second
 	// maxStanding bounds the peers that are remembered as standing.
@@ -120,7 +120,7 @@
 	}
 }
 
-// announce tells weaker owners that this host stands, while it owns nothing itself.
+// announce notifies weaker owners that this host stands, while it owns nothing itself.
 func (l *candidacyLoop) announce(ctx context.Context) {
 	now := l.host.now()
 	if !l.host.keeper.Joined() || len(l.host.ownedPartitions()) > 0 || now.Sub(l.announcedAt) < announceInterval {
@@ -139,6 +139,7 @@
 	}
 }
 
+// decide updates the candidacy, and joins or leaves the group if it has changed.
 func (l *candidacyLoop) decide(ctx context.Context) {
 	now := l.host.now()
 	view := l.view(now)
--- a/internal/transport/peer/job_client.go
+++ b/internal/transport/peer/job_client.go
@@ -85,7 +85,7 @@
 	return callJobWithTimeout(ctx, relayTimeout, c, address, wire.DRPCJobPeerClient.Relay, request)
 }
 
-// Standing tells an owner that the sender stands for ownership too.
+// Standing notifies an owner that the sender stands for ownership too.
 func (c *JobClient) Standing(ctx context.Context, address netip.AddrPort, request *wire.StandingRequest) error {
 	_, err := callJob(ctx, c, address, wire.DRPCJobPeerClient.Standing, request)
 	return err
