A renewal whose answer was lost is repeated before the membership expires

Change: the wait is eight times the last answer's, at least 0.25 s, doubles with each failure, and counts as part of the pause.

--- a/internal/coordination/owner/keeper.go
+++ b/internal/coordination/owner/keeper.go
@@ -18,8 +18,15 @@
 	// RenewInterval is how often the membership is renewed. Four renewals fit into the shortest
 	// TTL in use, so that one or two lost calls do not lose the partitions.
 	RenewInterval = 300 * time.Millisecond
-	// joinTimeout bounds one renewal.
-	joinTimeout = 900 * time.Millisecond
+	// maxJoinTimeout bounds one renewal.
+	maxJoinTimeout = 900 * time.Millisecond
+	// minRenewPause is the shortest pause between two renewals.
+	minRenewPause = 50 * time.Millisecond
+	// minJoinTimeout is the shortest time after which the answer to a renewal counts as lost.
+	minJoinTimeout = 250 * time.Millisecond
+	// joinLatencyFactor is the timeout of a renewal as a multiple of the last one's duration.
+	// The timeout doubles with each failure, since the log may have become slow.
+	joinLatencyFactor = 8
 )
 
 // Group assigns partitions to its members.
@@ -60,7 +67,9 @@
 	// confirmed is when the last successful join was sent.
 	confirmed time.Time
 	// latency is the duration of that join.
-	latency    time.Duration
+	latency time.Duration
+	// failures counts the renewals since then.
+	failures   int
 	generation int64
 	held       []keyedlog.Partition
 	// stands is whether the host wants to be a member now; left is set by Leave, for good.
@@ -125,6 +134,7 @@
 func (k *Keeper) Run(ctx context.Context) {
 	healthy := true
 	for ctx.Err() == nil {
+		began := k.now()
 		released, err := k.renew(ctx)
 		if errors.Is(err, errLeft) {
 			return
@@ -147,10 +157,20 @@
 			// released and may be assigned to others.
 			continue
 		}
-		_ = pause.For(ctx, RenewInterval)
+		// A renewal whose answer was lost is repeated soon, before the membership expires.
+		_ = pause.For(ctx, max(minRenewPause, RenewInterval-k.now().Sub(began)))
 	}
 }
 
+// timeout returns how long to wait for the answer to the next renewal. The lock is held.
+func (k *Keeper) timeout() time.Duration {
+	timeout := max(minJoinTimeout, joinLatencyFactor*k.latency)
+	for range k.failures {
+		timeout = min(maxJoinTimeout, 2*timeout)
+	}
+	return min(maxJoinTimeout, timeout)
+}
+
 // renew joins once and applies the assignment; it reports whether a partition was released.
 func (k *Keeper) renew(ctx context.Context) (released bool, err error) {
 	k.callLock <- struct{}{}
@@ -158,7 +178,10 @@
 	if err := k.membershipWanted(); err != nil {
 		return false, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	k.mu.Lock()
+	ctx, cancel := context.WithTimeout(ctx, k.timeout())
+	k.failures++
+	k.mu.Unlock()
 	defer cancel()
 	request := k.request
 	request.Generation = k.generation
@@ -171,6 +194,7 @@
 	// After a gap in which the membership may have expired, others may have held the
 	// partitions, unless the generation is unchanged.
 	gap := sent.Sub(k.confirmed) >= k.request.TTL && a.Generation != k.generation
+	k.failures = 0
 	before := k.held
 	k.held, k.generation, k.confirmed, k.latency, k.joined = a.Partitions, a.Generation, sent, k.now().Sub(sent), true
 	k.mu.Unlock()
