A host with reserved room counts as used

By the code: the host that a task leaves for has no runs yet, so the planner of machines takes it for the first one to release, and the task finds its room cordoned. Change: reserved tasks count as runs and as long-running in the pool's load. Test: TestLongRunningLeavesOnlyForRoomOfItsOwn checks it, failed first.

--- a/internal/coordination/schedule/cordon_test.go
+++ b/internal/coordination/schedule/cordon_test.go
@@ -168,6 +168,9 @@
 	if others, _ := h.plan(); len(others) != 0 {
 		t.Errorf("starts %v took the room of the task that leaves", taskNames(others))
 	}
+	if target := h.pool.Load(h.now).Hosts["h3"]; target.LongRunning != 1 || target.Runs != 1 {
+		t.Errorf("the host with the room counts %d runs, %d long-running; want 1 of each, or it is released as empty", target.Runs, target.LongRunning)
+	}
 	stop := orders.Stops[0]
 	h.carryOut(stop)
 	moved, _ := h.plan()
--- a/internal/coordination/schedule/load.go
+++ b/internal/coordination/schedule/load.go
@@ -20,7 +20,7 @@
 	Hosts       map[worker.ID]HostLoad
 }
 
-// HostLoad is how a pool uses one host.
+// HostLoad is how a pool uses one host. Tasks for which room is reserved count as runs.
 type HostLoad struct {
 	Runs        int
 	LongRunning int
@@ -103,7 +103,9 @@
 
 func (h *host) load(now time.Time) HostLoad {
 	load := HostLoad{
-		Unresponsive: !h.confirmed, LastSeenAge: now.Sub(later(h.knownAt, h.heardAt)), Runs: len(h.runs), Use: h.use, Vacant: h.cordoned() && h.vacant(),
+		Unresponsive: !h.confirmed, LastSeenAge: now.Sub(later(h.knownAt, h.heardAt)), Use: h.use, Vacant: h.cordoned() && h.vacant(),
+		// Only long-running tasks have room reserved, and they are on their way.
+		Runs: len(h.runs) + len(h.reserved), LongRunning: len(h.reserved),
 	}
 	for _, r := range h.runs {
 		def := r.task.step.def
