A stand-in reads the list of owners as often as a host that waits

A host that stands reads the list each 5 s, a list older than 3 s decides nothing, and stepping back needs 2 to 4 s of the same view, so that it took two readings. Change: a host that knows of stronger ones reads it each 1.5 s, also while it stands.

--- a/internal/coordination/candidacy/candidacy.go
+++ b/internal/coordination/candidacy/candidacy.go
@@ -128,6 +128,9 @@
 // Settled reports whether the start of the host is over, so that the list may be read less often.
 func (c *Candidate) Settled() bool { return c.settled }
 
+// KnowsStronger reports whether a stronger owner was seen, so that the host at most stands in.
+func (c *Candidate) KnowsStronger() bool { return c.standby }
+
 // Waits reports whether the host still gives stronger ones the time to come first.
 func (c *Candidate) Waits(now time.Time) bool { return now.Before(c.started.Add(c.startDelay())) }
 
--- a/internal/jobhost/candidacy.go
+++ b/internal/jobhost/candidacy.go
@@ -17,7 +17,7 @@
 	// starts. All hosts of a site may start together, and share the log's rate of reads.
 	startingListAge = 500 * time.Millisecond
 	// candidacyListAge is the age at which the list of owners is read again by a host that does
-	// not stand, or while the list is not complete.
+	// not stand or stands in for stronger ones, or while the list is not complete.
 	candidacyListAge = 1500 * time.Millisecond
 	// announceInterval is how often a host that stands and owns nothing announces itself to
 	// weaker owners, and standingMaxAge how long they count it as one more owner.
@@ -71,12 +71,12 @@
 	view := l.host.directory.ownersView()
 	l.mu.Lock()
 	stands, _ := l.candidate.Stands()
-	settled := l.candidate.Settled()
+	settled, standsIn := l.candidate.Settled(), l.candidate.KnowsStronger()
 	l.mu.Unlock()
 	switch {
 	case !settled:
 		return startingListAge
-	case stands && view.Unowned == 0 && len(view.Owners) > 0:
+	case stands && !standsIn && view.Unowned == 0 && len(view.Owners) > 0:
 		return idleOwnersMaxAge
 	default:
 		return candidacyListAge
