Tasks on draining hosts count before others are moved

One of their hosts drained; its task leaves whatever the budget says, and was reached last by the walk over the hosts, after two others had been allowed. Change: draining hosts are evacuated first, so that their tasks count for the others. Test: TestDrainingHostsCountFirst, failed first.

--- a/internal/coordination/schedule/cordon.go
+++ b/internal/coordination/schedule/cordon.go
@@ -57,19 +57,28 @@
 // cordoned hosts it also moves runs that save progress, are not part of a gang and have run
 // longer than the checkpoint interval, since they may not end in time.
 func (p *Pool) evacuate(now time.Time) {
+	// Tasks on draining hosts leave in any case, so they count before others are moved.
 	for _, h := range p.hosts {
-		if !h.report.Draining && h.use == UseAll {
+		if h.report.Draining {
+			p.evacuateHost(h, now)
+		}
+	}
+	for _, h := range p.hosts {
+		if !h.report.Draining && h.use != UseAll {
+			p.evacuateHost(h, now)
+		}
+	}
+}
+
+func (p *Pool) evacuateHost(h *host, now time.Time) {
+	for _, r := range h.runs {
+		if r.state != stateRunning {
 			continue
 		}
-		for _, r := range h.runs {
-			if r.state != stateRunning {
-				continue
-			}
-			if r.task.step.def.LongRunning {
-				p.moveLongRunning(r, h, now)
-			} else if p.shouldMove(r, h, now) {
-				p.stop(r, "host-leaves")
-			}
+		if r.task.step.def.LongRunning {
+			p.moveLongRunning(r, h, now)
+		} else if p.shouldMove(r, h, now) {
+			p.stop(r, "host-leaves")
 		}
 	}
 }
--- a/internal/coordination/schedule/cordon_test.go
+++ b/internal/coordination/schedule/cordon_test.go
@@ -248,3 +248,29 @@
 		t.Errorf("%d stops once the lists are later than any stop of the former owner; want 1", len(orders.Stops))
 	}
 }
+
+// TestDrainingHostsCountFirst cordons the hosts of three tasks of which two may be
+// unavailable, while one of the hosts drains. Its task leaves in any case, so that only one
+// of the others may leave with it, in whatever order the hosts are looked at.
+func TestDrainingHostsCountFirst(t *testing.T) {
+	for range 30 {
+		h := newHarness(t, "h1", "h2", "h3", "h4", "h5", "h6")
+		longRunning := testStep(3, 1000)
+		longRunning.LongRunning, longRunning.MaxPerHost, longRunning.MaxUnavailable = true, 1, 2
+		h.add(idA, longRunning)
+		starts := h.startLongRunning("h1", "h2", "h3", "h4", "h5", "h6")
+		var reports []worker.Report
+		for _, id := range []worker.ID{"h1", "h2", "h3", "h4", "h5", "h6"} {
+			r := report(id)
+			r.Draining = id == starts[0].Target.ID
+			reports = append(reports, r)
+		}
+		for _, s := range starts {
+			h.pool.Restrict([]worker.ID{s.Target.ID}, UseNone)
+		}
+		h.pool.SetHosts(reports, h.now)
+		if _, orders := h.plan(); len(orders.Stops) != 2 {
+			t.Fatalf("%d tasks were stopped at once; want 2, the one on the draining host among them", len(orders.Stops))
+		}
+	}
+}
