--- a/internal/coordination/slot/share.go
+++ b/internal/coordination/slot/share.go
@@ -57,7 +57,7 @@
 	return kept
 }
 
-// LiveList tells what the live list says about a host.
+// LiveList is what the live list says about a host.
 type LiveList interface {
 	Leaving(host string) bool
 }
--- a/internal/transport/peer/job_client.go
+++ b/internal/transport/peer/job_client.go
@@ -70,7 +70,7 @@
 	return callJob(ctx, c, address, wire.DRPCJobPeerClient.Load, &wire.LoadRequest{})
 }
 
-// Restrict tells the owner of a pool what its hosts may be used for.
+// Restrict sets, at the owner of a pool, what its hosts may be used for.
 func (c *JobClient) Restrict(ctx context.Context, address netip.AddrPort, request *wire.RestrictRequest) (*wire.RestrictReply, error) {
 	return callJob(ctx, c, address, wire.DRPCJobPeerClient.Restrict, request)
 }
