A start is logged when it is sent, with the time that it waited

The log had run-start at the moment when the placement was recorded, not when the order left. Three explanations looked alike in it:

1. the start waited in our queue for the host and left after the task was done; 2. the start left in time and the worker carried it out late; 3. the end was acknowledged although the owner knew of another start.

run-start is now written as the order leaves. The completion of the order (lease end, ticket) moves with it, from the record to BeginStart. What is ordered is unchanged.

--- a/internal/coordination/schedule/bench_test.go
+++ b/internal/coordination/schedule/bench_test.go
@@ -35,7 +35,8 @@
 		b.Fatal(err)
 	}
 	for _, s := range p.Recorded(u, now) {
-		p.Started(s.Target.ID, s.Order, now, worker.StartReply{}, false, nil)
+		order, _ := p.BeginStart(s.Target.ID, s.Order, now)
+		p.Started(s.Target.ID, order, now, worker.StartReply{}, false, nil)
 	}
 	return p, now
 }
--- a/internal/coordination/schedule/harness_test.go
+++ b/internal/coordination/schedule/harness_test.go
@@ -87,7 +87,20 @@
 	return h.record(), orders
 }
 
+// record records and returns the starts that go out at once.
 func (h *harness) record() []Start {
+	h.Helper()
+	var sent []Start
+	for _, s := range h.recordQueued() {
+		if order, ok := h.pool.BeginStart(s.Target.ID, s.Order, h.now); ok {
+			sent = append(sent, Start{Target: s.Target, Order: order})
+		}
+	}
+	return sent
+}
+
+// recordQueued records and returns the starts that wait for their turn.
+func (h *harness) recordQueued() []Start {
 	h.Helper()
 	u, err := h.pool.TakeUnrecorded()
 	if err != nil {
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -106,26 +106,3 @@
 	orders.HasPlacements = true
 	return r
 }
-
-// startOrder returns the start order of a run whose placement is recorded.
-func (p *Pool) startOrder(r *run, now time.Time) Start {
-	e, h := r.task.step.job, r.host
-	text, _ := r.task.step.ticketFor(h, now)
-	r.state, r.unsent, r.sentAt = stateSending, false, now
-	p.events.Event("run-start", "task", r.name, "run", r.number, "host", h.report.ID, "fence", int64(p.token),
-		"waited", now.Sub(e.AcceptedAt), "left-to-objective", e.objective(r.name.Occurrence).Sub(now),
-		"heard", now.Sub(h.heardAt), "checkpoint", r.checkpoint)
-	return Start{
-		Target: worker.Target{ID: h.report.ID, Address: h.report.Address},
-		Order: worker.StartOrder{
-			Task: r.name, Run: r.number, Spec: e.Spec, LeaseEnd: h.nextLease(now, p.limits.Lease), Token: p.token,
-			Checkpoint: r.checkpoint, Ticket: text,
-		},
-	}
-}
-
-// abandon releases a placed run whose start was never sent.
-func (p *Pool) abandon(r *run, now time.Time) {
-	r.host.startsInFlight--
-	p.release(r, now, worker.OutcomeStopped)
-}
--- a/internal/coordination/schedule/record.go
+++ b/internal/coordination/schedule/record.go
@@ -65,7 +65,7 @@
 		for _, t := range s.tasks {
 			for _, r := range t.runs {
 				placed = append(placed, jobs.Placement{Task: r.name, Run: r.number, Host: r.host.report.ID})
-				if r.unsent {
+				if r.unsent && !r.queued {
 					pendingStarts = append(pendingStarts, r)
 				}
 			}
@@ -83,11 +83,11 @@
 	var starts []Start
 	for _, r := range u.pendingStarts {
 		switch {
-		case r.host.runs[r.key()] != r || !r.unsent:
-		case r.state != stateRecording || r.task.step.job.Ended() || r.task.done() || !r.host.reachable():
+		case r.host.runs[r.key()] != r || !r.unsent || r.queued:
+		case !r.wanted() || !r.host.reachable():
 			p.abandon(r, now)
 		default:
-			starts = append(starts, p.startOrder(r, now))
+			starts = append(starts, p.startOrder(r))
 		}
 	}
 	for id, final := range u.finalStates {
--- a/internal/coordination/schedule/task.go
+++ b/internal/coordination/schedule/task.go
@@ -60,7 +60,8 @@
 type runState int
 
 const (
-	// stateRecording: the placement is being recorded; no order has been sent.
+	// stateRecording: the placement is being recorded, or the start waits for its turn at the
+	// host; no order has been sent.
 	stateRecording runState = iota
 	// stateInherited: an earlier owner recorded the run; its host has not reported on it.
 	stateInherited
@@ -82,7 +83,7 @@
 	host   *host
 	needs  worker.Resources
 	state  runState
-	// sentAt is when the start was ordered. startedAt is when the host was first known to
+	// sentAt is when the start was sent or, before, when the run was placed. startedAt is when the host was first known to
 	// have the run or, in stateUnknown, when the start failed without an answer.
 	sentAt    time.Time
 	startedAt time.Time
@@ -92,8 +93,8 @@
 	stopAckedAt time.Time
 	stopReason  string
 	checkpoint  string
-	// unsent is set until the start order is handed out.
-	unsent bool
+	// unsent is set until the start order is sent, queued while it waits for its turn.
+	unsent, queued bool
 	// unconfirmed is set when the start got no answer and no host has listed the run since.
 	unconfirmed bool
 	// resumed is set when the run began from a checkpoint, adopted when an earlier owner
--- a/internal/jobhost/pool_runner.go
+++ b/internal/jobhost/pool_runner.go
@@ -152,18 +152,24 @@
 }
 
 func (r *poolRunner) start(ctx context.Context, start schedule.Start) {
-	// The membership may have become unconfirmed while the order waited for a slot.
-	if !r.host.mayAct(r.host.now()) {
-		r.pool.Started(start.Target.ID, start.Order, r.host.now(), worker.StartReply{}, true, errTenureOver)
+	// The membership may have become unconfirmed while the order waited for a slot, or the run
+	// unwanted.
+	now := r.host.now()
+	if !r.host.mayAct(now) {
+		r.pool.Started(start.Target.ID, start.Order, now, worker.StartReply{}, true, errTenureOver)
+		return
+	}
+	order, ok := r.pool.BeginStart(start.Target.ID, start.Order, now)
+	if !ok {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	began := time.Now()
-	reply, err := r.host.platform.Workers.Start(ctx, start.Target, start.Order)
+	reply, err := r.host.platform.Workers.Start(ctx, start.Target, order)
 	r.host.metrics.start.observe(time.Since(began), err)
 	notSent := err != nil && verdict.FromError(err).Verdict == verdict.NotRun
-	r.pool.Started(start.Target.ID, start.Order, r.host.now(), reply, notSent, err)
+	r.pool.Started(start.Target.ID, order, r.host.now(), reply, notSent, err)
 	if err != nil && !notSent {
 		r.queryRuns(ctx, start.Target)
 	}
