A start that waited for its turn is checked again before it is sent

Cause: a start that is recorded waits for one of four turns at its host. Where the host leaves orders without an answer, each of them holds its turn for 0.4 s, and starts left up to 4.6 s after they had been placed. Only the tenure was checked as they left. Meanwhile the run of the first host was listed as done, recorded and acknowledged, the job shown as done, and the stop of the waiting copy queued behind it. The class of fault: a decision is carried out from a queue after what it rests on has changed.

The second run was ordered 2.5 s after the first, since the long poll of the first host was one of the orders without an answer: the owner hears nothing for the length of the poll and its slack, after which a copy of a speculative task is due.

Change: BeginStart checks as the order leaves that the run is still wanted, its host still takes work and its ticket is valid; the lease end counts from then. What is not sent is released and logged as start-dropped. Members of a gang that are dropped stop the gang, also between placement and record, instead of letting the others wait.

Tests: TestQueuedStartIsNotSentOnceItsTaskIsDone and TestQueuedStartIsNotSentToAHostThatDrains failed before.

--- a/internal/coordination/schedule/record.go
+++ b/internal/coordination/schedule/record.go
@@ -85,7 +85,7 @@
 		switch {
 		case r.host.runs[r.key()] != r || !r.unsent || r.queued:
 		case !r.wanted() || !r.host.reachable():
-			p.abandon(r, now)
+			p.dropStart(r, now)
 		default:
 			starts = append(starts, p.startOrder(r))
 		}
--- a/internal/coordination/schedule/start.go
+++ b/internal/coordination/schedule/start.go
@@ -19,7 +19,7 @@
 }
 
 // BeginStart completes a start order that is about to be sent. It returns false if the run is
-// gone; the order must not be sent then.
+// not wanted any more or its host can't take it; the order must not be sent then.
 func (p *Pool) BeginStart(id worker.ID, order worker.StartOrder, now time.Time) (worker.StartOrder, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -32,12 +32,13 @@
 		h.startsInFlight--
 		return order, false
 	}
-	ticket, _ := r.task.step.ticketFor(h, now)
-	e, queued := r.task.step.job, now.Sub(r.sentAt)
-	if r.state == stateRecording {
-		r.state = stateSending
+	ticket, valid := r.task.step.ticketFor(h, now)
+	if !r.wanted() || !h.reachable() || (r.task.step.job.NeedsPlacementCheck && !valid) {
+		p.dropStart(r, now)
+		return order, false
 	}
-	r.unsent, r.queued, r.sentAt = false, false, now
+	e, queued := r.task.step.job, now.Sub(r.sentAt)
+	r.state, r.unsent, r.queued, r.sentAt = stateSending, false, false, now
 	order.Ticket, order.LeaseEnd = ticket, h.nextLease(now, p.limits.Lease)
 	p.events.Event("run-start", "task", r.name, "run", r.number, "host", id, "fence", int64(p.token),
 		"waited", now.Sub(e.AcceptedAt), "left-to-objective", e.objective(r.name.Occurrence).Sub(now),
@@ -50,6 +51,17 @@
 	return r.state == stateRecording && !r.task.step.job.Ended() && !r.task.done()
 }
 
+// dropStart releases a placed run whose start was never sent. A gang is stopped whole.
+func (p *Pool) dropStart(r *run, now time.Time) {
+	p.events.Event("start-dropped", "task", r.name, "run", r.number, "host", r.host.report.ID,
+		"queued", now.Sub(r.sentAt), "task-done", r.task.done(), "job-ended", r.task.step.job.Ended(), "stop", r.stopReason,
+		"host-reachable", r.host.reachable())
+	p.abandon(r, now)
+	if r.task.step.def.Gang && r.number == r.task.step.gangRun {
+		p.stopGang(r.task.step, "gang-incomplete")
+	}
+}
+
 // abandon releases a placed run whose start was never sent.
 func (p *Pool) abandon(r *run, now time.Time) {
 	r.host.startsInFlight--
--- a/internal/emulator/site/ledger.go
+++ b/internal/emulator/site/ledger.go
@@ -58,6 +58,8 @@
 	// done is set once a run has succeeded, acknowledged once an entry host has
 	// acknowledged that end to the worker.
 	done, acknowledged bool
+	// acknowledgedAt is when a successful end was first acknowledged.
+	acknowledgedAt time.Time
 	// doneRuns are the runs that succeeded. early are starts after such an end was
 	// reported and before it was acknowledged; they are violations if one of these
 	// ends is acknowledged later.
--- a/internal/emulator/site/ledger_tasks.go
+++ b/internal/emulator/site/ledger_tasks.go
@@ -13,6 +13,9 @@
 // cancelGrace is how long after a cancellation's acknowledgement tasks may still be started.
 const cancelGrace = 3 * time.Second
 
+// copyGrace is how long after the acknowledgement of a successful end a copy may still start.
+const copyGrace = time.Second
+
 // started checks a run when its worker starts it. Time limits don't apply to a start
 // order that is carried out late.
 func (l *Ledger) started(w *Worker, o worker.StartOrder, actual taskBehaviour, late bool) {
@@ -29,6 +32,9 @@
 	} else if h.done && !actual.step.Speculative {
 		h.early = append(h.early, earlyStart{fmt.Sprintf("run %d on %s", o.Run, w.id), slices.Clone(h.doneRuns)})
 	}
+	if since := time.Since(h.acknowledgedAt); h.acknowledged && actual.step.Speculative && since > copyGrace {
+		l.addViolation("twice: %s run %d was started on %s %s after a successful end was acknowledged", o.Task, o.Run, w.id, since)
+	}
 	l.checkRequested(w, o, s, late)
 	if !actual.step.LongRunning && !actual.step.Speculative && len(h.failed) >= s.MaxAttempts {
 		h.startsOverLimit = append(h.startsOverLimit, maps.Clone(h.failed))
@@ -161,7 +167,9 @@
 
 func (l *Ledger) acknowledgedDone(task worker.TaskName, run int64) {
 	h := l.history(task)
-	h.acknowledged = true
+	if !h.acknowledged {
+		h.acknowledged, h.acknowledgedAt = true, time.Now()
+	}
 	for _, start := range h.early {
 		if slices.Contains(start.after, run) {
 			l.addViolation("twice: %s %s after the successful end of run %d, which was acknowledged later", task, start.what, run)
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -59,6 +59,8 @@
 	hosts      map[string]*EntryHost
 	faults     map[string]StoreFault
 	lostOrders float64
+	// lostOrdersOf holds the shares of single machines.
+	lostOrdersOf map[string]float64
 	// isolated holds the data centres that are partitioned from the others.
 	isolated map[string]bool
 }
@@ -83,8 +85,8 @@
 // New creates a site; seed initialises its random number generator.
 func New(layout Layout, seed uint64, events func(host string) Events) *Site {
 	s := &Site{
-		gangs:  gangs{joined: map[gangKey]map[int]func(){}},
-		ledger: newLedger(), events: events, maxLease: maxLease, rng: rand.New(rand.NewPCG(seed, 1)), //nolint:gosec // Not for secrets.
+		gangs:        gangs{joined: map[gangKey]map[int]func(){}},
+		lostOrdersOf: map[string]float64{}, ledger: newLedger(), events: events, maxLease: maxLease, rng: rand.New(rand.NewPCG(seed, 1)), //nolint:gosec // Not for secrets.
 		workers: map[worker.ID]*Worker{}, machines: map[string]*simMachine{}, waves: map[int64]machine.Wave{},
 		hosts: map[string]*EntryHost{}, faults: map[string]StoreFault{}, isolated: map[string]bool{},
 	}
@@ -123,10 +125,11 @@
 
 func (s *Site) chance(share float64) bool { return share > 0 && s.random() < share }
 
-func (s *Site) lostOrderShare() float64 {
+// lostOrderShare returns the share of the orders to a machine's worker that are lost.
+func (s *Site) lostOrderShare(machine string) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.lostOrders
+	return max(s.lostOrders, s.lostOrdersOf[machine])
 }
 
 // storeFault returns the fault that an entry host encounters at the platform. A fault
@@ -318,6 +321,13 @@
 	s.lostOrders = share
 }
 
+// SetLostOrderShareOf sets the share for the workers of one machine only.
+func (s *Site) SetLostOrderShareOf(machine string, share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lostOrdersOf[machine] = share
+}
+
 // Close stops all entry hosts and workers.
 func (s *Site) Close() {
 	s.mu.Lock()
--- a/internal/emulator/site/worker_access.go
+++ b/internal/emulator/site/worker_access.go
@@ -42,8 +42,8 @@
 
 // losesAnswer decides at random whether an order gets no answer, and reports that. It
 // then schedules the order's late delivery and blocks until ctx ends.
-func (a *workerAccess) losesAnswer(ctx context.Context, deliver func()) bool {
-	if !a.site.chance(a.site.lostOrderShare()) {
+func (a *workerAccess) losesAnswer(ctx context.Context, w *Worker, deliver func()) bool {
+	if !a.site.chance(a.site.lostOrderShare(w.machine)) {
 		return false
 	}
 	late := minLateDelay + time.Duration(a.site.random()*float64(maxLateDelay-minLateDelay))
@@ -57,7 +57,7 @@
 	if err != nil {
 		return worker.StartReply{}, err
 	}
-	if a.losesAnswer(ctx, func() {
+	if a.losesAnswer(ctx, w, func() {
 		if w.alive() {
 			w.start(o, a.host.Name, true)
 		}
@@ -72,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	if a.losesAnswer(ctx, func() { w.stop(o) }) {
+	if a.losesAnswer(ctx, w, func() { w.stop(o) }) {
 		return verdict.MayHaveRunError(verdict.CauseUpstreamSilent, "the worker's answer is lost")
 	}
 	if !w.stop(o) {
@@ -91,6 +91,9 @@
 	if err != nil {
 		return worker.RenewalReply{}, err
 	}
+	if a.losesAnswer(ctx, w, func() { w.renewLease(o, true) }) {
+		return worker.RenewalReply{}, verdict.MayHaveRunError(verdict.CauseUpstreamSilent, "the worker's answer is lost")
+	}
 	reply, changed := w.renewLease(o, false)
 	if changed == nil {
 		return reply, nil
