Starts and stops of a host don't wait for each other's answers

Where hosts leave orders without an answer, callers waited seconds for tasks that had been placed, and the stop of an unwanted copy left seconds late.

Cause: starts, stops and throttles of a host shared four turns, and an order that got no answer kept its turn while the host's runs were read, for 0.4 to 1.2 s. Eight starts in flight and the stops that follow from them made a queue of seconds.

Change: starts have four turns of their own, the other orders four. The runs of a host are read outside of them, by one query at a time for a host; queries made meanwhile share the next one. A start now waits at most two turns of 0.4 s.

--- a/internal/emulator/site/lost_orders_test.go
+++ b/internal/emulator/site/lost_orders_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,3 +42,40 @@
 	}
 	f.finish()
 }
+
+// startQueues collects how long starts waited for their turn at their host.
+type startQueues struct {
+	mu     sync.Mutex
+	queued []time.Duration
+}
+
+func (q *startQueues) Event(name string, pairs ...any) {
+	if name != "run-start" && name != "start-dropped" {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for n := 0; n+1 < len(pairs); n += 2 {
+		if wait, ok := pairs[n+1].(time.Duration); ok && pairs[n] == "queued" {
+			q.queued = append(q.queued, wait)
+		}
+	}
+}
+
+// maxStartQueue is the time in which a host that answers no order lets all starts through that
+// may be in flight to it: two turns of 0.4 s, and the record of the last.
+const maxStartQueue = 900 * time.Millisecond
+
+func TestStartsDoNotQueueBehindUnansweredOrders(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint("seed-", seed+1), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q := &startQueues{}
+				runLostOrders(newFixtureWithEvents(t, seed+1, func(string) Events { return q }), 2, 0.5)
+				if longest := slices.Max(q.queued); longest > maxStartQueue {
+					t.Errorf("a start waited %s for its turn; want at most %s", longest, maxStartQueue)
+				}
+			})
+		})
+	}
+}
--- a/internal/emulator/site/site_test.go
+++ b/internal/emulator/site/site_test.go
@@ -81,9 +81,14 @@
 
 // newFixture starts a site with all entry hosts and waits 4 s of virtual time.
 func newFixture(t *testing.T, seed uint64) *fixture {
+	t.Helper()
+	return newFixtureWithEvents(t, seed, events(t))
+}
+
+func newFixtureWithEvents(t *testing.T, seed uint64, events func(string) Events) *fixture {
 	t.Helper()
 	started = time.Now()
-	f := &fixture{t: t, site: New(layout, seed, events(t)), queue: map[job.ID]string{}}
+	f := &fixture{t: t, site: New(layout, seed, events), queue: map[job.ID]string{}}
 	for d, dataCentre := range layout.DataCentres {
 		for n := range layout.EntryHosts {
 			h, err := f.site.StartHost(fmt.Sprintf("%s-%d", dataCentre, n), dataCentre, 1+d*layout.EntryHosts+n)
--- a/internal/jobhost/conversation.go
+++ b/internal/jobhost/conversation.go
@@ -25,12 +25,24 @@
 type leaseClient struct {
 	runner *poolRunner
 	target atomic.Pointer[worker.Target]
-	// slots bounds the orders in flight to the host.
-	slots chan struct{}
+	// starts and others bound the start orders and the other orders in flight to the host, so
+	// that a stop doesn't wait for unanswered starts.
+	starts, others chan struct{}
+	// queries asks for the host's runs to be read outside the renewal loop.
+	queries chan struct{}
+}
+
+func newLeaseClient(runner *poolRunner) *leaseClient {
+	return &leaseClient{
+		runner: runner, starts: make(chan struct{}, maxOrdersPerHost), others: make(chan struct{}, maxOrdersPerHost), queries: make(chan struct{}, 1),
+	}
 }
 
 func (c *leaseClient) run(ctx context.Context, id worker.ID) {
 	defer c.runner.removeLeaseClient(id)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c.runner.loops.Go(func() { c.answerQueries(ctx) })
 	retry := renewalRetryMin
 	for ctx.Err() == nil {
 		now := c.runner.host.now()
@@ -88,3 +100,24 @@
 		}
 	}
 }
+
+// query has the host's runs read soon. Queries made while one waits share its answer.
+func (c *leaseClient) query() {
+	select {
+	case c.queries <- struct{}{}:
+	default:
+	}
+}
+
+// answerQueries reads the host's runs after each query until ctx ends.
+func (c *leaseClient) answerQueries(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.queries:
+			c.runner.queryRuns(ctx, *c.target.Load())
+			c.runner.signal()
+		}
+	}
+}
--- a/internal/jobhost/pool_runner.go
+++ b/internal/jobhost/pool_runner.go
@@ -23,7 +23,7 @@
 	// placementTimeout bounds a placement check; it is long because the service answers
 	// queries one after another.
 	placementTimeout = 8 * time.Second
-	// maxOrdersPerHost bounds the concurrent orders to one host.
+	// maxOrdersPerHost bounds the concurrent starts, and the other concurrent orders, to one host.
 	maxOrdersPerHost = 4
 )
 
@@ -96,10 +96,10 @@
 		r.signalRecorder()
 	}
 	for _, order := range orders.Stops {
-		r.send(ctx, order.Target, func(ctx context.Context) { r.stop(ctx, order) })
+		r.send(ctx, order.Target, otherOrders, func(ctx context.Context) { r.stop(ctx, order) })
 	}
 	for _, order := range orders.Throttles {
-		r.send(ctx, order.Target, func(ctx context.Context) { r.throttle(ctx, order) })
+		r.send(ctx, order.Target, otherOrders, func(ctx context.Context) { r.throttle(ctx, order) })
 	}
 	for _, query := range orders.PlacementQueries {
 		r.loops.Go(func() { r.checkPlacement(ctx, query) })
@@ -112,7 +112,7 @@
 		r.mu.Lock()
 		client, ok := r.leaseClients[target.ID]
 		if !ok {
-			client = &leaseClient{runner: r, slots: make(chan struct{}, maxOrdersPerHost)}
+			client = newLeaseClient(r)
 			r.leaseClients[target.ID] = client
 		}
 		r.mu.Unlock()
@@ -123,19 +123,29 @@
 	}
 }
 
-// send carries out an order in its own goroutine, with at most maxOrdersPerHost to one
-// host at a time.
-func (r *poolRunner) send(ctx context.Context, target worker.Target, carryOut func(context.Context)) {
+func startOrders(c *leaseClient) chan struct{} { return c.starts }
+
+func otherOrders(c *leaseClient) chan struct{} { return c.others }
+
+// client returns the lease client of a host, or nil.
+func (r *poolRunner) client(id worker.ID) *leaseClient {
 	r.mu.Lock()
-	client := r.leaseClients[target.ID]
-	r.mu.Unlock()
+	defer r.mu.Unlock()
+	return r.leaseClients[id]
+}
+
+// send carries out an order in its own goroutine, with at most maxOrdersPerHost of its kind to
+// one host at a time.
+func (r *poolRunner) send(ctx context.Context, target worker.Target, kind func(*leaseClient) chan struct{}, carryOut func(context.Context)) {
+	client := r.client(target.ID)
 	if client == nil {
 		return
 	}
+	slots := kind(client)
 	r.loops.Go(func() {
 		select {
-		case client.slots <- struct{}{}:
-			defer func() { <-client.slots }()
+		case slots <- struct{}{}:
+			defer func() { <-slots }()
 		case <-ctx.Done():
 			return
 		}
@@ -147,7 +157,7 @@
 // startAll sends start orders whose placements are recorded.
 func (r *poolRunner) startAll(ctx context.Context, starts []schedule.Start) {
 	for _, order := range starts {
-		r.send(ctx, order.Target, func(ctx context.Context) { r.start(ctx, order) })
+		r.send(ctx, order.Target, startOrders, func(ctx context.Context) { r.start(ctx, order) })
 	}
 }
 
@@ -171,11 +181,18 @@
 	notSent := err != nil && verdict.FromError(err).Verdict == verdict.NotRun
 	r.pool.Started(start.Target.ID, order, r.host.now(), reply, notSent, err)
 	if err != nil && !notSent {
-		r.queryRuns(ctx, start.Target)
+		r.query(start.Target.ID)
+	}
+}
+
+// query has the runs of a host read outside its renewal loop.
+func (r *poolRunner) query(id worker.ID) {
+	if client := r.client(id); client != nil {
+		client.query()
 	}
 }
 
-// queryRuns asks a host for its runs, independently of its renewal loop.
+// queryRuns reads the runs of a host, independently of its renewal loop.
 func (r *poolRunner) queryRuns(ctx context.Context, target worker.Target) {
 	now := r.host.now()
 	order, ok := r.pool.ImmediateRenewal(target.ID, now)
@@ -199,7 +216,7 @@
 	err := r.host.platform.Workers.Stop(ctx, stop.Target, stop.Order)
 	r.pool.Stopped(stop.Target.ID, stop.Order, r.host.now(), err)
 	if err == nil && stop.MayBeAbsent {
-		r.queryRuns(ctx, stop.Target)
+		r.query(stop.Target.ID)
 	}
 }
 
