Log what takes a pool's room while tasks wait

The log has neither the placements nor the releases of runs that were never sent, nor what the owner counts as taken, so that held placements can't be told from starts that aren't counted down, or from hosts that aren't usable.

`tasks-blocked` says every 2 s, while tasks of a pool wait for room, how many of its listed hosts are usable, how many runs they hold for the owner, how many of these are unsent, and the starts in flight. `start-abandoned` is logged for a placed run that is not sent. The dump has both counts for each host.

--- a/internal/coordination/schedule/dump.go
+++ b/internal/coordination/schedule/dump.go
@@ -28,6 +28,8 @@
 	Use       string    `json:"use"`
 	Heard     string    `json:"heard-age"`
 	Runs      int       `json:"runs"`
+	Unsent    int       `json:"unsent"`
+	InFlight  int       `json:"starts-in-flight"`
 	FreeCPU   int64     `json:"free-cpu"`
 	FreeMB    int64     `json:"free-memory-mb"`
 }
@@ -44,7 +46,8 @@
 		free := h.free()
 		d.Hosts = append(d.Hosts, HostDump{
 			ID: id, Rack: h.report.Rack, Listed: h.listed, Confirmed: h.confirmed, Draining: h.report.Draining, Use: h.use.String(),
-			Heard: now.Sub(h.heardAt).Round(time.Millisecond).String(), Runs: len(h.runs), FreeCPU: free.CPU, FreeMB: free.MemoryMB,
+			Heard: now.Sub(h.heardAt).Round(time.Millisecond).String(), Runs: len(h.runs), Unsent: h.unsentRuns(), InFlight: h.startsInFlight,
+			FreeCPU: free.CPU, FreeMB: free.MemoryMB,
 		})
 	}
 	slices.SortFunc(d.Hosts, func(a, b HostDump) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -30,9 +30,11 @@
 			}
 		}
 	}
-	if !waiting {
-		p.startCopies(now, orders)
+	if waiting {
+		p.reportBlocked(now)
+		return
 	}
+	p.startCopies(now, orders)
 }
 
 // placeTasks places a step's tasks one by one and reports whether all could be placed.
@@ -126,6 +128,8 @@
 
 // abandon releases a placed run whose start was never sent.
 func (p *Pool) abandon(r *run, now time.Time) {
+	p.events.Event("start-abandoned", "task", r.name, "run", r.number, "host", r.host.report.ID, "placed-for", now.Sub(r.sentAt),
+		"job-ended", r.task.step.job.Ended(), "stop", r.stopReason)
 	r.host.startsInFlight--
 	p.release(r, now, worker.OutcomeStopped)
 }
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -42,6 +42,8 @@
 	// fenced is set once a host has accepted the fencing token of a later owner.
 	fenced    bool
 	estimates estimates
+	// blockedAt is when it was last logged that tasks wait for room.
+	blockedAt time.Time
 }
 
 // New creates the scheduler of a pool for a tenure that begins at now.
