A job that ends before its placements are recorded gives them back

Cause: a placed run is released only when the record of its placement returns (Recorded). The record left out all runs of jobs that have ended. A job that was cancelled, failed or done between the plan and the next record kept its unsent runs, with their capacity and their starts in flight, until the tenure ended; no lease, restart or removal of the host frees an unsent run. Such a host has less room, none at all with eight starts in flight, and a cordoned one is never vacant, so that its machine stays in the pool and is neither used nor handed over. A slow log makes the time between plan and record long. The class of fault: a resource whose only way back is one that a state of its owner skips.

Change: unsent runs go with the record whatever the job's state, so that Recorded gives them back; the placements recorded are the same. This works because a start marks its job as changed, and the job stays so until its unsent runs are taken for a record that succeeds.

--- a/internal/coordination/schedule/record.go
+++ b/internal/coordination/schedule/record.go
@@ -54,17 +54,17 @@
 	return u, nil
 }
 
-// placements returns the runs that may be on hosts once this is recorded. Runs whose
-// start waits for the record are added to pendingStarts.
+// placements returns the runs that may be on hosts once this is recorded; there are none of
+// a job that has ended. Runs whose start waits for the record are added to pendingStarts,
+// whatever the job's state, since Recorded is what releases them.
 func (e *jobEntry) placements(pendingStarts []*run) ([]jobs.Placement, []*run) {
-	if e.Ended() {
-		return nil, pendingStarts
-	}
 	var placed []jobs.Placement
 	for _, s := range e.steps {
 		for _, t := range s.tasks {
 			for _, r := range t.runs {
-				placed = append(placed, jobs.Placement{Task: r.name, Run: r.number, Host: r.host.report.ID})
+				if !e.Ended() {
+					placed = append(placed, jobs.Placement{Task: r.name, Run: r.number, Host: r.host.report.ID})
+				}
 				if r.unsent {
 					pendingStarts = append(pendingStarts, r)
 				}
--- a/internal/emulator/site/site_test.go
+++ b/internal/emulator/site/site_test.go
@@ -146,6 +146,7 @@
 	if notRunning := f.site.Ledger().notRunning(); len(notRunning) > 0 {
 		f.t.Errorf("lost: %d long-running tasks don't run, first %s", len(notRunning), notRunning[0])
 	}
+	f.checkNothingHeld()
 	f.site.Close()
 	f.site.Ledger().checkMaxAttempts()
 	if diff := cmp.Diff([]string(nil), f.site.Ledger().Violations()); diff != "" {
