A restarted worker gives back the starts that were not sent to it

What callers would see: after restarts of its worker a host takes fewer starts at a time, and none after eight (LOST).

A placed run that is to be stopped before its start is sent, because its job has ended, was released when the worker's new incarnation was seen. Only the return of its record counts down the host's starts in flight, and by then the run is gone and passed over. The count stays one too high until the tenure ends.

Change: a new incarnation leaves unsent runs alone, as the expiry of a lease does, so that only the return of their record releases them. The new test fails on the former code with one start in flight.

--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -136,16 +136,14 @@
 	h.health = health{}
 	clear(h.unknownRuns)
 	for _, r := range h.runs {
-		if !known {
+		// An unsent run was on no incarnation; the record of its placement releases it.
+		if !known || r.unsent {
 			continue
 		}
-		switch r.state {
-		case stateSending, stateUnknown:
+		if r.state == stateSending || r.state == stateUnknown {
 			// The start may have reached the new incarnation.
 			r.state = stateUnknown
 			continue
-		case stateRecording:
-			continue
 		}
 		p.release(r, now, worker.OutcomeLeaseExpired)
 	}
--- a/internal/coordination/schedule/record_test.go
+++ b/internal/coordination/schedule/record_test.go
@@ -70,3 +70,14 @@
 	h.wantStarts(h.record())
 	h.wantVacant()
 }
+
+func TestRestartBeforeTheRecordFreesThePlacement(t *testing.T) {
+	h := newHarness(t, "h1")
+	h.add(idA, testStep(1, 1000))
+	h.placeOnly()
+	h.pool.CancelJob(idA, h.now)
+	h.pool.Plan(h.now)
+	h.renew("h1", 2)
+	h.wantStarts(h.record())
+	h.wantVacant()
+}
