--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -30,9 +30,11 @@
 			}
 		}
 	}
-	if !waiting {
-		p.startCopies(now, orders)
+	if waiting {
+		p.reportBlocked(now)
+		return
 	}
+	p.startCopies(now, orders)
 }
 
 // placeTasks places a step's tasks one by one and reports whether all could be placed.
