A start that waits is not sent once a later owner was seen

The later owner may have recorded and shown the end of the task meanwhile.

TestQueuedStartOfAFencedPoolIsNotSent failed before.

--- a/internal/coordination/schedule/start.go
+++ b/internal/coordination/schedule/start.go
@@ -34,7 +34,7 @@
 		return order, false
 	}
 	ticket, valid := r.task.step.ticketFor(h, now)
-	if !r.wanted() || !h.reachable() || (r.task.step.job.NeedsPlacementCheck && !valid) {
+	if p.fenced || !r.wanted() || !h.reachable() || (r.task.step.job.NeedsPlacementCheck && !valid) {
 		p.dropStart(r, now)
 		return order, false
 	}
--- a/internal/coordination/schedule/start_test.go
+++ b/internal/coordination/schedule/start_test.go
@@ -52,6 +52,31 @@
 	}
 }
 
+func TestQueuedStartOfAFencedPoolIsNotSent(t *testing.T) {
+	h := newHarness(t, "h1", "h2")
+	original, copied := queuedCopy(h)
+	h.pool.ApplyRenewal(original.Target.ID, h.now, h.now, worker.RenewalReply{Fenced: true})
+	if _, ok := h.pool.BeginStart(copied.Target.ID, copied.Order, h.now); ok {
+		t.Error("the start was sent although a later owner was seen")
+	}
+}
+
+func TestDroppedMemberStopsItsGang(t *testing.T) {
+	h := newHarness(t, "h1", "h2")
+	step := testStep(2, 9000)
+	step.Gang = true
+	h.add(idA, step)
+	h.pool.Plan(h.now)
+	queued := h.recordQueued()
+	h.wantStarts(queued, idA+".0.0.0", idA+".0.0.1")
+	h.pool.RenewalFailed(queued[0].Target.ID, errNoAnswer)
+	for _, s := range queued {
+		if _, ok := h.pool.BeginStart(s.Target.ID, s.Order, h.now); ok {
+			t.Errorf("%s was started without the rest of its gang", s.Order.Task)
+		}
+	}
+}
+
 func TestQueuedStartIsSentOnce(t *testing.T) {
 	h := newHarness(t, "h1", "h2")
 	_, copied := queuedCopy(h)
