A stop that waited for its turn is checked again before it is sent

The stop of a long-running task that is to leave its host waited for its turn at that host. Meanwhile another task of the step could fail or its host go silent, and the stop then took the step below what may be unavailable (AVAIL).

Change: BeginStop asks, as the stop leaves, whether the tenure allows it, no later owner was seen, and the run is still to be stopped. A long-running task whose step allows no further absence by then stays, and the room that was kept for it is given back (stop-dropped). A stop that waits is not ordered again. An order to a host that has just lost its lease client is sent; before it was forgotten, with the room of its run.

The harness sends stops as it sends starts.

start-dropped is logged where a start is dropped, no longer for each gang that does not fit.

--- a/internal/coordination/schedule/cordon.go
+++ b/internal/coordination/schedule/cordon.go
@@ -78,7 +78,7 @@
 		if r.task.step.def.LongRunning {
 			p.moveLongRunning(r, h, now)
 		} else if p.shouldMove(r, h, now) {
-			p.stop(r, "host-leaves")
+			p.stop(r, reasonHostLeaves)
 		}
 	}
 }
@@ -102,5 +102,5 @@
 		return
 	}
 	p.reserve(r.task, target, now)
-	p.stop(r, "host-leaves")
+	p.stop(r, reasonHostLeaves)
 }
--- a/internal/coordination/schedule/harness_test.go
+++ b/internal/coordination/schedule/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -84,6 +85,7 @@
 func (h *harness) plan() ([]Start, Orders) {
 	h.Helper()
 	orders := h.pool.Plan(h.now)
+	orders.Stops = slices.DeleteFunc(orders.Stops, func(s Stop) bool { return !h.pool.BeginStop(s.Target.ID, s.Order, h.now) })
 	return h.record(), orders
 }
 
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -164,11 +164,11 @@
 	for id, h := range p.hosts {
 		target := worker.Target{ID: id, Address: h.report.Address}
 		for _, r := range h.runs {
-			if r.state != stateStopping || r.unsent || !r.stopAckedAt.IsZero() || now.Sub(r.stopSentAt) < stopRetry {
+			if r.state != stateStopping || r.unsent || r.stopQueued || !r.stopAckedAt.IsZero() || now.Sub(r.stopSentAt) < stopRetry {
 				continue
 			}
 			p.events.Event("run-stop", "task", r.name, "run", r.number, "host", id, "reason", r.stopReason)
-			r.stopSentAt = now
+			r.stopQueued = true
 			orders.Stops = append(orders.Stops, Stop{
 				Target: target, Order: worker.StopOrder{Task: r.name, Run: r.number, Token: p.token}, MayBeAbsent: r.startedAt.IsZero() || r.unconfirmed,
 			})
--- a/internal/coordination/schedule/start.go
+++ b/internal/coordination/schedule/start.go
@@ -54,6 +54,9 @@
 
 // dropStart releases a placed run whose start was never sent. A gang is stopped whole.
 func (p *Pool) dropStart(r *run, now time.Time) {
+	p.events.Event("start-dropped", "task", r.name, "run", r.number, "host", r.host.report.ID,
+		"queued", now.Sub(r.sentAt), "task-done", r.task.done(), "job-ended", r.task.step.job.Ended(), "stop", r.stopReason,
+		"host-reachable", r.host.reachable())
 	p.abandon(r, now)
 	if r.task.step.def.Gang && r.number == r.task.step.gangRun {
 		p.stopGang(r.task.step, "gang-incomplete")
@@ -62,9 +65,6 @@
 
 // abandon releases a placed run whose start was never sent.
 func (p *Pool) abandon(r *run, now time.Time) {
-	p.events.Event("start-dropped", "task", r.name, "run", r.number, "host", r.host.report.ID,
-		"queued", now.Sub(r.sentAt), "task-done", r.task.done(), "job-ended", r.task.step.job.Ended(), "stop", r.stopReason,
-		"host-reachable", r.host.reachable())
 	r.host.startsInFlight--
 	p.release(r, now, worker.OutcomeStopped)
 }
--- /dev/null
+++ b/internal/coordination/schedule/stop.go
@@ -0,0 +1,47 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
+)
+
+// reasonHostLeaves is why runs are stopped that are to go on at another host.
+const reasonHostLeaves = "host-leaves"
+
+// BeginStop reports whether a stop that is about to be sent is still wanted. A long-running
+// task whose step allows no further absence by then stays where it is.
+func (p *Pool) BeginStop(id worker.ID, order worker.StopOrder, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h, ok := p.hosts[id]
+	if !ok || p.fenced {
+		return false
+	}
+	key := runKey{order.Task, order.Run}
+	r, ok := h.runs[key]
+	if !ok {
+		_, unknown := h.unknownRuns[key]
+		return unknown
+	}
+	r.stopQueued = false
+	if r.state != stateStopping {
+		return false
+	}
+	if r.stopSentAt.IsZero() && p.mustStay(r, now) {
+		p.events.Event("stop-dropped", "task", r.name, "run", r.number, "host", id, "reason", r.stopReason)
+		p.unreserve(r.task)
+		r.state = stateRunning
+		return false
+	}
+	r.stopSentAt = now
+	return true
+}
+
+// mustStay reports whether the move of a long-running task would now leave its step with too
+// few tasks available.
+func (p *Pool) mustStay(r *run, now time.Time) bool {
+	s := r.task.step
+	return r.stopReason == reasonHostLeaves && s.def.LongRunning && !s.job.Ended() && !r.host.report.Draining &&
+		!p.withinMaxUnavailable(s, r.task, now)
+}
--- a/internal/coordination/schedule/task.go
+++ b/internal/coordination/schedule/task.go
@@ -91,6 +91,8 @@
 	// both are zero before. stopAckedAt is reset to zero when the stop must be repeated.
 	stopSentAt  time.Time
 	stopAckedAt time.Time
+	// stopQueued is set while a stop waits to be sent.
+	stopQueued bool
 	stopReason  string
 	checkpoint  string
 	// unsent is set until the start order is sent, queued while it waits for its turn.
--- a/internal/jobhost/pool_runner.go
+++ b/internal/jobhost/pool_runner.go
@@ -135,13 +135,12 @@
 }
 
 // send carries out an order in its own goroutine, with at most maxOrdersPerHost of its kind to
-// one host at a time.
+// one host at a time. A host that has just left the pool has no bound.
 func (r *poolRunner) send(ctx context.Context, target worker.Target, kind func(*leaseClient) chan struct{}, carryOut func(context.Context)) {
-	client := r.client(target.ID)
-	if client == nil {
-		return
+	slots := make(chan struct{}, 1)
+	if client := r.client(target.ID); client != nil {
+		slots = kind(client)
 	}
-	slots := kind(client)
 	r.loops.Go(func() {
 		select {
 		case slots <- struct{}{}:
@@ -211,6 +210,11 @@
 }
 
 func (r *poolRunner) stop(ctx context.Context, stop schedule.Stop) {
+	// What the stop rests on may have changed while it waited for its turn.
+	now := r.host.now()
+	if !r.host.mayAct(now) || !r.pool.BeginStop(stop.Target.ID, stop.Order, now) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
 	err := r.host.platform.Workers.Stop(ctx, stop.Target, stop.Order)
