Two reads of a host's runs at a time

Found in review, suspected and not measured: the runs of a host were read by one query at a time since starts and stops have their own turns. On a host that leaves queries without an answer, the query after an unanswered start waits up to 0.7 s, while a start that is not listed after 20 ms is stopped: a run that works may be ended. Two queries at a time let the second pass one without an answer.

--- a/internal/jobhost/conversation.go
+++ b/internal/jobhost/conversation.go
@@ -15,6 +15,9 @@
 	// renewalRetryMax while the host is unresponsive.
 	renewalRetryMin = 50 * time.Millisecond
 	renewalRetryMax = 800 * time.Millisecond
+	// maxQueriesPerHost bounds the concurrent reads of a host's runs beside its renewals; with
+	// two, one that gets no answer does not hold up the next.
+	maxQueriesPerHost = 2
 	// maxRecordWait bounds how long the next renewal waits for the record of the ended runs in
 	// the last reply; without it the host would answer at once.
 	maxRecordWait = 200 * time.Millisecond
@@ -42,7 +45,9 @@
 	defer c.runner.removeLeaseClient(id)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	c.runner.loops.Go(func() { c.answerQueries(ctx) })
+	for range maxQueriesPerHost {
+		c.runner.loops.Go(func() { c.answerQueries(ctx) })
+	}
 	retry := renewalRetryMin
 	for ctx.Err() == nil {
 		now := c.runner.host.now()
