Only starts of speculative tasks expire early

Others are protected by the release of their runs (a stop or the end of the lease), and a lease of 0.8 s could lapse for them beside lost renewals: gangs and long-running tasks would be given up for a host that is only silent.

The refusal of a late start carries the worker's clock, which was ignored; a reading that a freeze of the entry host has aged would have made each start late until the next renewal.

The emulator's ledger counts starts of any task over a second after its success was acknowledged, or its job shown as done, also if the order was carried out late.

--- a/internal/coordination/schedule/limits.go
+++ b/internal/coordination/schedule/limits.go
@@ -58,8 +58,8 @@
 	// unknownStartTimeout is how long the run of an unanswered start may take to appear in
 	// the host's list before it is stopped.
 	unknownStartTimeout = 20 * time.Millisecond
-	// startLifetime is how long after it was sent a start may take effect; a late one would
-	// start what has meanwhile been done elsewhere.
+	// startLifetime is how long after it was sent the start of a speculative task may take
+	// effect.
 	startLifetime = 800 * time.Millisecond
 	// stopRetry is the time after which an unanswered stop is sent again.
 	stopRetry = 700 * time.Millisecond
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -219,8 +219,10 @@
 		}
 		return
 	}
-	if err == nil && reply.Refusal == worker.Accepted {
+	if err == nil {
 		h.updateClock(now, reply.Clock)
+	}
+	if err == nil && reply.Refusal == worker.Accepted {
 		if r.state == stateSending || r.state == stateUnknown {
 			r.state, r.startedAt, r.task.step.job.begun = stateRunning, now, true
 		}
--- a/internal/coordination/schedule/start.go
+++ b/internal/coordination/schedule/start.go
@@ -18,8 +18,7 @@
 	}
 }
 
-// BeginStart completes a start order that is about to be sent. The worker refuses it once
-// startLifetime has passed; the lease of a run that has started is extended by renewals. It returns false if the run is
+// BeginStart completes a start order that is about to be sent. It returns false if the run is
 // not wanted any more or its host can't take it; the order must not be sent then.
 func (p *Pool) BeginStart(id worker.ID, order worker.StartOrder, now time.Time) (worker.StartOrder, bool) {
 	p.mu.Lock()
@@ -40,13 +39,22 @@
 	}
 	e, queued := r.task.step.job, now.Sub(r.sentAt)
 	r.state, r.unsent, r.queued, r.sentAt = stateSending, false, false, now
-	order.Ticket, order.LeaseEnd = ticket, h.nextLease(now, startLifetime)
+	order.Ticket, order.LeaseEnd = ticket, h.nextLease(now, p.startLease(r))
 	p.events.Event("run-start", "task", r.name, "run", r.number, "host", id, "fence", int64(p.token),
 		"waited", now.Sub(e.AcceptedAt), "left-to-objective", e.objective(r.name.Occurrence).Sub(now),
 		"queued", queued, "other-runs", len(r.task.runs)-1, "heard", now.Sub(h.heardAt), "checkpoint", r.checkpoint)
 	return order, true
 }
 
+// startLease returns the lease that a start carries, which is also how long it may be on its
+// way. A copy must not begin long after another run of its task has succeeded.
+func (p *Pool) startLease(r *run) time.Duration {
+	if r.task.step.def.Speculative {
+		return startLifetime
+	}
+	return p.limits.Lease
+}
+
 // wanted reports whether a run that has not been sent is still to be started.
 func (r *run) wanted() bool {
 	return r.state == stateRecording && !r.task.step.job.Ended() && !r.task.done()
--- a/internal/coordination/schedule/task.go
+++ b/internal/coordination/schedule/task.go
@@ -93,8 +93,8 @@
 	stopAckedAt time.Time
 	// stopQueued is set while a stop waits to be sent.
 	stopQueued bool
-	stopReason  string
-	checkpoint  string
+	stopReason string
+	checkpoint string
 	// unsent is set until the start order is sent, queued while it waits for its turn.
 	unsent, queued bool
 	// unconfirmed is set when the start got no answer and no host has listed the run since.
--- a/internal/emulator/site/ledger.go
+++ b/internal/emulator/site/ledger.go
@@ -35,6 +35,8 @@
 	refused bool
 	// shown is the state that a caller was shown last.
 	shown job.State
+	// doneShownAt is when a caller was first shown that the job is done.
+	doneShownAt time.Time
 }
 
 // taskBehaviour is how a step's tasks actually behave, which may differ from what the
@@ -190,6 +192,9 @@
 	if s.shown.Ended() && state != s.shown {
 		l.addViolation("mixed: job %s was shown as %s and then as %s", id, s.shown, state)
 	}
+	if state == job.Done && s.shown != job.Done {
+		s.doneShownAt = time.Now()
+	}
 	s.shown = state
 	switch state {
 	case job.Done:
--- a/internal/emulator/site/ledger_tasks.go
+++ b/internal/emulator/site/ledger_tasks.go
@@ -13,7 +13,7 @@
 // cancelGrace is how long after a cancellation's acknowledgement tasks may still be started.
 const cancelGrace = 3 * time.Second
 
-// copyGrace is how long after the acknowledgement of a successful end a copy may still start.
+// copyGrace is how long after its success was acknowledged or shown a task may still start.
 const copyGrace = time.Second
 
 // started checks a run when its worker starts it. Time limits don't apply to a start
@@ -32,9 +32,7 @@
 	} else if h.done && !actual.step.Speculative {
 		h.early = append(h.early, earlyStart{fmt.Sprintf("run %d on %s", o.Run, w.id), slices.Clone(h.doneRuns)})
 	}
-	if since := time.Since(h.acknowledgedAt); h.acknowledged && actual.step.Speculative && since > copyGrace {
-		l.addViolation("twice: %s run %d was started on %s %s after a successful end was acknowledged", o.Task, o.Run, w.id, since)
-	}
+	l.checkCopy(w, o, s, h)
 	l.checkRequested(w, o, s, late)
 	if !actual.step.LongRunning && !actual.step.Speculative && len(h.failed) >= s.MaxAttempts {
 		h.startsOverLimit = append(h.startsOverLimit, maps.Clone(h.failed))
@@ -45,6 +43,17 @@
 	l.checkSpread(w, o.Task, actual)
 }
 
+// checkCopy checks that no task is started long after its success was acknowledged or shown.
+// Unlike other time limits, it holds for orders that are carried out late as well.
+func (l *Ledger) checkCopy(w *Worker, o worker.StartOrder, s *submitted, h *taskHistory) {
+	if h.acknowledged && time.Since(h.acknowledgedAt) > copyGrace {
+		l.addViolation("twice: %s run %d was started on %s %s after a successful end was acknowledged", o.Task, o.Run, w.id, time.Since(h.acknowledgedAt))
+	}
+	if s.shown == job.Done && time.Since(s.doneShownAt) > copyGrace {
+		l.addViolation("twice: %s run %d was started on %s %s after its job was shown as done", o.Task, o.Run, w.id, time.Since(s.doneShownAt))
+	}
+}
+
 // checkRequested checks a start against the job that its caller submitted.
 func (l *Ledger) checkRequested(w *Worker, o worker.StartOrder, s *submitted, late bool) {
 	if o.Spec != s.Spec {
--- a/internal/emulator/site/lost_orders_test.go
+++ b/internal/emulator/site/lost_orders_test.go
@@ -72,6 +72,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				q := &startQueues{}
 				runLostOrders(newFixtureWithEvents(t, seed+1, func(string) Events { return q }), 2, 0.5)
+				if len(q.queued) == 0 {
+					t.Fatal("no start was ordered")
+				}
 				if longest := slices.Max(q.queued); longest > maxStartQueue {
 					t.Errorf("a start waited %s for its turn; want at most %s", longest, maxStartQueue)
 				}
--- a/internal/emulator/site/worker_access.go
+++ b/internal/emulator/site/worker_access.go
@@ -91,7 +91,11 @@
 	if err != nil {
 		return worker.RenewalReply{}, err
 	}
-	if a.losesAnswer(ctx, w, func() { w.renewLease(o, true) }) {
+	if a.losesAnswer(ctx, w, func() {
+		if w.alive() {
+			w.renewLease(o, true)
+		}
+	}) {
 		return worker.RenewalReply{}, verdict.MayHaveRunError(verdict.CauseUpstreamSilent, "the worker's answer is lost")
 	}
 	reply, changed := w.renewLease(o, false)
