A start is not sent once its host has shrunk

Callers saw: nothing yet; found by reading, while looking for starts that bring a worker which doesn't check its capacity over it. A worker that checks refuses such a start, which costs a refusal. Cause: a task is placed by the capacity of the last report, and its start is sent once the placement is recorded and a slot of the host is free. Neither point looked at the capacity again, so a report that came in between had no effect. While an append is retried this lasts for seconds. Change: before starts go out, those on hosts that have shrunk below what is placed there are dropped, the last first, until the rest fits; of a gang all members are dropped, since the others would wait for them in vain. A start that waited for a slot is checked again. Running tasks stay. New event: start-dropped. TestQueuedStartStopsFittingWhenItsHostShrinks is for the second check, which did not exist. Why it works: what is placed on a host counts from the placement on, so the sum against the newest report decides at each point where the start can still be held back.

--- /dev/null
+++ b/internal/coordination/schedule/capacity.go
@@ -0,0 +1,49 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
+)
+
+// overcommitted reports whether the runs and the reserved tasks take more than the host's
+// capacity, which may have shrunk since they were placed. Runs in progress go on.
+func (h *host) overcommitted() bool { return !h.used.Fits(h.report.Capacity) }
+
+// dropUnfit abandons pending starts on hosts whose capacity has shrunk since the placement,
+// the last one first, until the others fit.
+func (p *Pool) dropUnfit(pending []*run, now time.Time) {
+	for _, r := range slices.Backward(pending) {
+		if r.host.runs[r.key()] != r || !r.unsent || !r.host.overcommitted() {
+			continue
+		}
+		p.events.Event("start-dropped", "task", r.name, "run", r.number, "host", r.host.report.ID, "reason", "capacity",
+			"free-cpu", r.host.free().CPU, "free-memory-mb", r.host.free().MemoryMB)
+		p.abandonWithGang(r, now)
+	}
+}
+
+// abandonWithGang abandons a pending start. For a gang, which works only as a whole, it
+// abandons the starts of all members.
+func (p *Pool) abandonWithGang(r *run, now time.Time) {
+	if !r.task.step.def.Gang {
+		p.abandon(r, now)
+		return
+	}
+	for _, t := range r.task.step.tasks {
+		for _, member := range slices.Clone(t.runs) {
+			if member.unsent && member.number == r.number {
+				p.abandon(member, now)
+			}
+		}
+	}
+}
+
+// StillFits reports whether the run of a start that is about to be sent fits on its host.
+func (p *Pool) StillFits(id worker.ID, order worker.StartOrder) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h, ok := p.hosts[id]
+	return !ok || h.runs[runKey{order.Task, order.Run}] == nil || !h.overcommitted()
+}
--- /dev/null
+++ b/internal/coordination/schedule/capacity_test.go
@@ -0,0 +1,177 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
+)
+
+// resize lists the given hosts, whose capacity is now cpu.
+func (h *harness) resize(cpu int64, hosts ...worker.ID) {
+	var reports []worker.Report
+	for _, id := range hosts {
+		r := report(id)
+		r.Capacity.CPU = cpu
+		reports = append(reports, r)
+	}
+	h.pool.SetHosts(reports, h.now)
+}
+
+// takeRecord plans and returns what is to be recorded.
+func (h *harness) takeRecord() Unrecorded {
+	h.Helper()
+	h.pool.Plan(h.now)
+	u, err := h.pool.TakeUnrecorded()
+	if err != nil {
+		h.Fatal(err)
+	}
+	return u
+}
+
+func (h *harness) freeCPU(id worker.ID) int64 {
+	for _, d := range h.pool.Dump(h.now).Hosts {
+		if d.ID == id {
+			return d.FreeCPU
+		}
+	}
+	return 0
+}
+
+func TestNoStartAfterItsHostShrank(t *testing.T) {
+	h := newHarness(t, "h1")
+	h.add(idA, testStep(3, 4000))
+	u := h.takeRecord()
+	h.resize(9000, "h1")
+	starts := h.pool.Recorded(u, h.now)
+	if diff := cmp.Diff(2, len(starts)); diff != "" {
+		t.Errorf("starts after the host shrank (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(int64(1000), h.freeCPU("h1")); diff != "" {
+		t.Errorf("free capacity (-want +got):\n%s", diff)
+	}
+	h.accept(starts...)
+	none, _ := h.plan()
+	h.wantStarts(none)
+}
+
+func TestNoPartOfAGangAfterAHostShrank(t *testing.T) {
+	h := newHarness(t, "h1", "h2")
+	step := testStep(2, 12000)
+	step.Gang = true
+	h.add(idA, step)
+	u := h.takeRecord()
+	h.pool.SetHosts([]worker.Report{report("h1"), {ID: "h2", Pool: "maps", Address: report("h2").Address, Capacity: worker.Resources{CPU: 6000, MemoryMB: 64000}}}, h.now)
+	h.wantStarts(h.pool.Recorded(u, h.now))
+	for _, id := range []worker.ID{"h1", "h2"} {
+		if runs := h.pool.Load(h.now).Hosts[id].Runs; runs != 0 {
+			t.Errorf("%s has %d runs of a gang that was not started", id, runs)
+		}
+	}
+	h.resize(16000, "h1", "h2")
+	all, _ := h.plan()
+	if diff := cmp.Diff(2, len(all)); diff != "" {
+		t.Errorf("starts once the host has grown again (-want +got):\n%s", diff)
+	}
+}
+
+func TestQueuedStartStopsFittingWhenItsHostShrinks(t *testing.T) {
+	h := newHarness(t, "h1")
+	h.add(idA, testStep(2, 4000))
+	starts, _ := h.plan()
+	fits := func() []bool {
+		var all []bool
+		for _, s := range starts {
+			all = append(all, h.pool.StillFits(s.Target.ID, s.Order))
+		}
+		return all
+	}
+	if diff := cmp.Diff([]bool{true, true}, fits()); diff != "" {
+		t.Errorf("before (-want +got):\n%s", diff)
+	}
+	h.resize(5000, "h1")
+	if diff := cmp.Diff([]bool{false, false}, fits()); diff != "" {
+		t.Errorf("after the host shrank (-want +got):\n%s", diff)
+	}
+	// One of them is dropped, so that the other fits.
+	h.pool.Started("h1", starts[1].Order, h.now, worker.StartReply{}, true, errNoAnswer)
+	if !h.pool.StillFits("h1", starts[0].Order) {
+		t.Error("a start does not fit although it is alone on its host")
+	}
+}
+
+// TestShrunkHost plays a host that shrinks below what runs on it, to nothing, and grows
+// again.
+func TestShrunkHost(t *testing.T) {
+	h := newHarness(t, "h1")
+	h.add(idA, testStep(3, 4000))
+	starts, _ := h.plan()
+	h.accept(starts...)
+	h.add(idB, testStep(1, 1000))
+	for _, cpu := range []int64{12500, 6000, 0} {
+		h.resize(cpu, "h1")
+		none, orders := h.plan()
+		h.wantStarts(none)
+		if diff := cmp.Diff(0, len(orders.Stops)); diff != "" {
+			t.Errorf("stops on a host that shrank to %d (-want +got):\n%s", cpu, diff)
+		}
+	}
+	h.resize(5000, "h1")
+	h.advance(time.Second)
+	h.renewRunning("h1", 1, []worker.ActiveRun{{Task: starts[0].Order.Task, Run: starts[0].Order.Run, Percent: 100, Usage: 1}},
+		endedRun(starts[1], worker.OutcomeDone), endedRun(starts[2], worker.OutcomeDone))
+	next, _ := h.plan()
+	h.wantStarts(next, idB+".0.0.0")
+}
+
+// TestStoppingRunCountsOnAShrunkHost preempts a run on a host that has shrunk: the urgent task
+// starts once the end is listed, not before.
+func TestStoppingRunCountsOnAShrunkHost(t *testing.T) {
+	h := newHarness(t, "h1")
+	saved := testStep(2, 6000)
+	saved.SavesProgress = true
+	h.add(idA, saved)
+	h.pool.jobs[idA].Priority = 1
+	starts, _ := h.plan()
+	h.accept(starts...)
+	h.advance(time.Second)
+	h.resize(12000, "h1")
+	h.add(idB, testStep(1, 6000))
+	none, orders := h.plan()
+	h.wantStarts(none)
+	if diff := cmp.Diff(1, len(orders.Stops)); diff != "" {
+		t.Fatalf("stops (-want +got):\n%s", diff)
+	}
+	stopped, kept := starts[0], starts[1]
+	if orders.Stops[0].Order.Task != stopped.Order.Task {
+		stopped, kept = kept, stopped
+	}
+	h.pool.Stopped("h1", orders.Stops[0].Order, h.now, nil)
+	none, _ = h.plan()
+	h.wantStarts(none)
+	h.renewRunning("h1", 1, []worker.ActiveRun{{Task: kept.Order.Task, Run: kept.Order.Run, Percent: 100, Usage: 1}}, endedRun(stopped, worker.OutcomeStopped))
+	next, _ := h.plan()
+	h.wantStarts(next, idB+".0.0.0")
+}
+
+// TestInheritedRunsCountOnAShrunkHost takes over a pool whose host has shrunk: the former
+// owner's runs count before and after the host lists them.
+func TestInheritedRunsCountOnAShrunkHost(t *testing.T) {
+	h := newHarness(t, "h1")
+	h.add(idA, job.Step{Tasks: 2, Needs: worker.Resources{CPU: 4000, MemoryMB: 100}, Estimate: time.Second})
+	var running []worker.ActiveRun
+	for index := range 2 {
+		running = append(running, worker.ActiveRun{Task: worker.TaskName{Job: idA, Index: index}, Run: 3, Percent: 100, Usage: 1})
+	}
+	h.resize(9000, "h1")
+	h.renewRunning("h1", 1, running)
+	h.add(idB, testStep(1, 2000))
+	none, _ := h.plan()
+	h.wantStarts(none)
+	h.resize(10000, "h1")
+	next, _ := h.plan()
+	h.wantStarts(next, idB+".0.0.0")
+}
--- a/internal/coordination/schedule/record.go
+++ b/internal/coordination/schedule/record.go
@@ -80,6 +80,7 @@
 func (p *Pool) Recorded(u Unrecorded, now time.Time) []Start {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.dropUnfit(u.pendingStarts, now)
 	var starts []Start
 	for _, r := range u.pendingStarts {
 		switch {
--- a/internal/jobhost/pool_runner.go
+++ b/internal/jobhost/pool_runner.go
@@ -157,6 +157,10 @@
 		r.pool.Started(start.Target.ID, start.Order, r.host.now(), worker.StartReply{}, true, errTenureOver)
 		return
 	}
+	if !r.pool.StillFits(start.Target.ID, start.Order) {
+		r.pool.Started(start.Target.ID, start.Order, r.host.now(), worker.StartReply{}, true, errCapacityShrunk)
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	began := time.Now()
--- a/internal/jobhost/recorder.go
+++ b/internal/jobhost/recorder.go
@@ -14,7 +14,10 @@
 	"github.com/hornbeammast/hornbeammast/internal/protocol/verdict"
 )
 
-var errTenureOver = errors.New("the tenure has ended or is not confirmed; no order was sent")
+var (
+	errTenureOver     = errors.New("the tenure has ended or is not confirmed; no order was sent")
+	errCapacityShrunk = errors.New("the host's capacity has shrunk; no order was sent")
+)
 
 // recorder writes the records of a partition's pools, callers and peers to the log. It
 // sends one append at a time, in order, and batches what accumulates meanwhile.
