Nothing is started by capacities that may be out of date

Callers saw: nothing yet; found in runs of the emulator. Workers that don't check their capacity were started over it after it had shrunk. Cause: an owner used the last report that it had read, however old. Workers can't report while the log is down or while they are cut off. When the log is back, the owner's delayed append, or a new owner's first plan, comes before the workers' next report; a worker that was cut off answers its owner before its report is in the log. The class: a value is used without asking whether its source could have changed it since. Evidence: traced in the emulator from the times of faults, of the take-over and of the start: after an outage of the log (also one during which the entry host itself was restarted, so that it had seen no gap; also several short ones in a row, in which a read that had been waiting was still answered), and at a take-over while a worker is cut off. Change: a feed keeps the time up to which all changes are known: a report interval and half a second before the last read of the reports, while the log has taken reads without a break. In pools whose workers don't check, nothing is placed, preempted for or sent when that time is longer ago than contact-time and report-interval allow, nor on a host that answers again until it has had time to report. Pools whose workers check are as before. New settings platform.report-interval and bounds.contact-time, from the platform's figures. Emulator: pools of workers that don't check, capacities that change, workers that report at intervals and whose reports are removed when they can't; the check of the limit allows contact time and one interval after a shrink. Why it works: starts depend on how far the reports are known to reach, not on when the last one happened to come.

--- a/internal/cmd/serve_jobs.go
+++ b/internal/cmd/serve_jobs.go
@@ -174,7 +174,7 @@
 		Limits: schedule.Limits{
 			Lease: min(taskLease, b.MaxLease.Std()), MaxLease: b.MaxLease.Std(), MaxUnconfirmed: maxUnconfirmed, RenewalWait: renewalWait,
 			CheckpointInterval: b.CheckpointInterval.Std(), RemoteDataFactor: b.RemoteDataFactor, NoticeTime: b.NoticeTime.Std(), StopTime: b.StopTime.Std(),
-			EndedJobRetention: b.EndedJobRetention.Std(),
+			ContactTime: b.ContactTime.Std(), ReportInterval: loaded.Platform.ReportInterval.Std(), EndedJobRetention: b.EndedJobRetention.Std(),
 		},
 	}
 }
--- a/internal/coordination/schedule/capacity.go
+++ b/internal/coordination/schedule/capacity.go
@@ -11,14 +11,44 @@
 // capacity, which may have shrunk since they were placed. Runs in progress go on.
 func (h *host) overcommitted() bool { return !h.used.Fits(h.report.Capacity) }
 
-// dropUnfit abandons pending starts on hosts whose capacity has shrunk since the placement,
-// the last one first, until the others fit.
+// capacityKnown reports whether the host's capacity may be relied on. A host that refuses
+// what doesn't fit may be tried in any case.
+func (p *Pool) capacityKnown(h *host, now time.Time) bool {
+	if p.checksCapacity {
+		return true
+	}
+	return !now.Before(h.settledAt) && (p.reports == nil || p.reports.Current(now))
+}
+
+// settle delays starts on a host that answers after it was unresponsive, if it may have been
+// unable to report meanwhile.
+func (p *Pool) settle(h *host, now time.Time) {
+	if h.confirmed {
+		return
+	}
+	missed := now.Sub(h.heardAt) > p.limits.ReportInterval+reportSlack
+	if h.contactedAt.IsZero() {
+		// Before, a former owner may have had contact.
+		missed = h.failedContact
+	}
+	if missed {
+		h.settledAt = now.Add(p.limits.settleTime())
+	}
+}
+
+// takes reports whether a placed run may still be started on the host.
+func (p *Pool) takes(h *host, now time.Time) bool {
+	return p.capacityKnown(h, now) && !h.overcommitted()
+}
+
+// dropUnfit abandons pending starts on hosts whose capacity has shrunk since the placement
+// or is not known any more, the last one first, until the others fit.
 func (p *Pool) dropUnfit(pending []*run, now time.Time) {
 	for _, r := range slices.Backward(pending) {
-		if r.host.runs[r.key()] != r || !r.unsent || !r.host.overcommitted() {
+		if r.host.runs[r.key()] != r || !r.unsent || p.takes(r.host, now) {
 			continue
 		}
-		p.events.Event("start-dropped", "task", r.name, "run", r.number, "host", r.host.report.ID, "reason", "capacity",
+		p.events.Event("start-dropped", "task", r.name, "run", r.number, "host", r.host.report.ID, "known", p.capacityKnown(r.host, now),
 			"free-cpu", r.host.free().CPU, "free-memory-mb", r.host.free().MemoryMB)
 		p.abandonWithGang(r, now)
 	}
@@ -41,9 +71,9 @@
 }
 
 // StillFits reports whether the run of a start that is about to be sent fits on its host.
-func (p *Pool) StillFits(id worker.ID, order worker.StartOrder) bool {
+func (p *Pool) StillFits(id worker.ID, order worker.StartOrder, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h, ok := p.hosts[id]
-	return !ok || h.runs[runKey{order.Task, order.Run}] == nil || !h.overcommitted()
+	return !ok || h.runs[runKey{order.Task, order.Run}] == nil || p.takes(h, now)
 }
--- a/internal/coordination/schedule/capacity_test.go
+++ b/internal/coordination/schedule/capacity_test.go
@@ -85,7 +85,7 @@
 	fits := func() []bool {
 		var all []bool
 		for _, s := range starts {
-			all = append(all, h.pool.StillFits(s.Target.ID, s.Order))
+			all = append(all, h.pool.StillFits(s.Target.ID, s.Order, h.now))
 		}
 		return all
 	}
@@ -98,7 +98,7 @@
 	}
 	// One of them is dropped, so that the other fits.
 	h.pool.Started("h1", starts[1].Order, h.now, worker.StartReply{}, true, errNoAnswer)
-	if !h.pool.StillFits("h1", starts[0].Order) {
+	if !h.pool.StillFits("h1", starts[0].Order, h.now) {
 		t.Error("a start does not fit although it is alone on its host")
 	}
 }
@@ -175,3 +175,64 @@
 	next, _ := h.plan()
 	h.wantStarts(next, idB+".0.0.0")
 }
+
+// outdated implements Reports with reports that are not current.
+type outdated struct{ until time.Time }
+
+func (o *outdated) Current(now time.Time) bool { return !now.Before(o.until) }
+
+func TestNoStartByOutdatedReports(t *testing.T) {
+	for _, checksCapacity := range []bool{false, true} {
+		h := newHarness(t, "h1")
+		h.pool.SetChecksCapacity(checksCapacity)
+		reports := &outdated{}
+		h.pool.reports = reports
+		h.add(idA, testStep(1, 1000))
+		u := h.takeRecord()
+		reports.until = h.now.Add(time.Minute)
+		starts := h.pool.Recorded(u, h.now)
+		if checksCapacity {
+			h.wantStarts(starts, idA+".0.0.0")
+			continue
+		}
+		h.wantStarts(starts)
+		none, _ := h.plan()
+		h.wantStarts(none)
+		h.advance(time.Minute)
+		h.renew("h1", 1)
+		starts, _ = h.plan()
+		h.wantStarts(starts, idA+".0.0.0")
+		h.advance(time.Millisecond)
+		reports.until = h.now.Add(time.Minute)
+		if h.pool.StillFits("h1", starts[0].Order, h.now) {
+			t.Error("a start that waits to be sent fits although the capacity is not known any more")
+		}
+	}
+}
+
+// TestNoStartOnAHostThatCouldNotReport plays a host that answers again after a while: it may
+// have shrunk and could not report it.
+func TestNoStartOnAHostThatCouldNotReport(t *testing.T) {
+	for _, checksCapacity := range []bool{false, true} {
+		h := newHarness(t, "h1")
+		h.pool.SetChecksCapacity(checksCapacity)
+		h.pool.limits.ContactTime, h.pool.limits.ReportInterval = 3*time.Second, 1500*time.Millisecond
+		h.advance(time.Second)
+		h.pool.RenewalFailed("h1", errNoAnswer)
+		h.advance(3 * time.Second)
+		h.renew("h1", 1)
+		h.add(idA, testStep(1, 1000))
+		starts, _ := h.plan()
+		if checksCapacity {
+			h.wantStarts(starts, idA+".0.0.0")
+			continue
+		}
+		h.wantStarts(starts)
+		h.advance(1900 * time.Millisecond)
+		starts, _ = h.plan()
+		h.wantStarts(starts)
+		h.advance(200 * time.Millisecond)
+		starts, _ = h.plan()
+		h.wantStarts(starts, idA+".0.0.0")
+	}
+}
--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -55,6 +55,7 @@
 		p.events.Event("host-silent", "host", id, "pool", p.name, "runs", len(h.runs), "heard", h.heardAt, "error", cause)
 	}
 	h.confirmed = false
+	h.failedContact = h.failedContact || h.contactedAt.IsZero()
 }
 
 // ApplyRenewal applies a renewal reply, which lists a host's running and ended runs; the
@@ -80,6 +81,7 @@
 	if !h.confirmed {
 		p.events.Event("host-answers", "host", id, "pool", p.name, "life", reply.Incarnation, "running", len(reply.Running), "ended", len(reply.Ended))
 	}
+	p.settle(h, now)
 	if h.contactedAt.IsZero() {
 		// The worker now refuses earlier owners, so the last lease that can still be in
 		// force is one that the previous owner granted just before.
--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -17,6 +17,8 @@
 	incarnation worker.Incarnation
 	// contactedAt is when the worker first answered this owner, zero before.
 	contactedAt time.Time
+	// failedContact is set once a renewal got no answer before the worker first answered.
+	failedContact bool
 	// clock is the worker's clock reading from its last answer, which came at clockAt.
 	clock   time.Duration
 	clockAt time.Time
@@ -46,6 +48,8 @@
 	// pausedUntil is the time until which nothing is started after a refusal.
 	pausedUntil time.Time
 	health      health
+	// settledAt is when the host will have reported again after it was unresponsive.
+	settledAt time.Time
 }
 
 type runKey struct {
--- a/internal/coordination/schedule/limits.go
+++ b/internal/coordination/schedule/limits.go
@@ -21,6 +21,9 @@
 	NoticeTime time.Duration
 	// StopTime is how long a worker may take to end a run that it was ordered to stop.
 	StopTime time.Duration
+	// ContactTime is how long a change in a host's report may take to have effect, beyond
+	// ReportInterval, which is how often hosts report.
+	ContactTime, ReportInterval time.Duration
 	// EndedJobRetention is how long the state of an ended job can be queried.
 	EndedJobRetention time.Duration
 }
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -75,7 +75,7 @@
 
 // allowed reports whether a task of a step may be started on a host now.
 func (p *Pool) allowed(s *step, h *host, now time.Time) bool {
-	if !h.usable(now) || !s.def.Reserved().Fits(h.free()) {
+	if !h.usable(now) || !p.capacityKnown(h, now) || !s.def.Reserved().Fits(h.free()) {
 		return false
 	}
 	if s.def.RequiredLabel != "" && s.def.RequiredLabel != h.report.Kind && s.def.RequiredLabel != h.report.Rack {
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -16,12 +16,26 @@
 	Event(name string, pairs ...any)
 }
 
+// Reports tells whether the hosts' reports are current.
+type Reports interface {
+	Current(now time.Time) bool
+}
+
+// Option configures a Pool.
+type Option func(*Pool)
+
+// WithReports sets what tells whether the hosts' reports are current; without it they always
+// are.
+func WithReports(reports Reports) Option { return func(p *Pool) { p.reports = reports } }
+
 // Pool schedules the jobs of one pool for one tenure, under its fencing token.
 type Pool struct {
 	name   string
 	limits Limits
 	token  worker.FencingToken
 	events Events
+	// reports is nil if the hosts' reports are always current.
+	reports Reports
 
 	mu          sync.Mutex
 	tenureStart time.Time
@@ -45,8 +59,8 @@
 }
 
 // New creates the scheduler of a pool for a tenure that begins at now.
-func New(name string, token worker.FencingToken, limits Limits, now time.Time, events Events) *Pool {
-	return &Pool{
+func New(name string, token worker.FencingToken, limits Limits, now time.Time, events Events, opts ...Option) *Pool {
+	p := &Pool{
 		name: name, limits: limits, token: token, events: events, tenureStart: now,
 		inheritedExpiry: now.Add(limits.MaxUnconfirmed + limits.maxLeaseDuration()),
 		checksCapacity:  true,
@@ -55,6 +69,10 @@
 		reservations: map[*task]reservation{},
 		estimates:    estimates{},
 	}
+	for _, apply := range opts {
+		apply(p)
+	}
+	return p
 }
 
 // Name returns the pool's name.
--- a/internal/coordination/schedule/preempt.go
+++ b/internal/coordination/schedule/preempt.go
@@ -38,7 +38,7 @@
 
 // victims returns the runs to stop on a host to free capacity for one task, or nil.
 func (p *Pool) victims(c candidate, h *host, now time.Time) []*run {
-	if !h.listed || !h.confirmed || h.report.Draining || h.cordoned() {
+	if !h.reachable() || !p.capacityKnown(h, now) {
 		return nil
 	}
 	var eligible []*run
--- a/internal/emulator/site/machines.go
+++ b/internal/emulator/site/machines.go
@@ -177,6 +177,9 @@
 	m.worker = newWorker(s, id, m, 1-maxClockSlowdown*s.random())
 	s.workers[id] = m.worker
 	s.publishReport(m.worker)
+	if s.heartbeats {
+		s.heartbeat(m.worker, time.Duration(s.random()*float64(reportInterval)), 0)
+	}
 }
 
 // maxClockSlowdown is the largest share by which a worker's clock may run slow.
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -43,12 +43,15 @@
 
 // Site is an emulated platform together with its entry hosts.
 type Site struct {
-	ledger   *Ledger
-	store    *Store
-	network  *network
-	events   func(host string) Events
-	maxLease time.Duration
-	gangs    gangs
+	ledger  *Ledger
+	store   *Store
+	network *network
+	// uncheckedPools are the pools whose workers start what doesn't fit.
+	uncheckedPools []string
+	heartbeats     bool
+	events         func(host string) Events
+	maxLease       time.Duration
+	gangs          gangs
 
 	mu         sync.Mutex
 	rng        *rand.Rand
@@ -78,12 +81,17 @@
 	// divided among the pools; the spares start switched off in the spare pool.
 	EntryHosts, Machines, Spares int
 	Pools                        []string
+	// UncheckedPools are the pools whose workers start what doesn't fit on them.
+	UncheckedPools []string
+	// Heartbeats makes workers report at intervals and removes the reports of those that can't.
+	// Without it reports stay, and only a drain is reported.
+	Heartbeats bool
 }
 
 // New creates a site; seed initialises its random number generator.
 func New(layout Layout, seed uint64, events func(host string) Events) *Site {
 	s := &Site{
-		gangs:  gangs{joined: map[gangKey]map[int]func(){}},
+		gangs: gangs{joined: map[gangKey]map[int]func(){}}, uncheckedPools: layout.UncheckedPools, heartbeats: layout.Heartbeats,
 		ledger: newLedger(), events: events, maxLease: maxLease, rng: rand.New(rand.NewPCG(seed, 1)), //nolint:gosec // Not for secrets.
 		workers: map[worker.ID]*Worker{}, machines: map[string]*simMachine{}, waves: map[int64]machine.Wave{},
 		hosts: map[string]*EntryHost{}, faults: map[string]StoreFault{}, isolated: map[string]bool{},
@@ -240,7 +248,7 @@
 		Limits: schedule.Limits{
 			Lease: 5 * time.Second, MaxLease: maxLease, MaxUnconfirmed: 6 * time.Second, RenewalWait: 1500 * time.Millisecond,
 			CheckpointInterval: checkpointInterval, RemoteDataFactor: 2, NoticeTime: 4500 * time.Millisecond, StopTime: stopTime,
-			EndedJobRetention: 2 * time.Minute,
+			ContactTime: contactTime, ReportInterval: reportInterval, EndedJobRetention: 2 * time.Minute,
 		},
 		Capacity: jobhost.Capacity{
 			HolderLease: holderLease, OrdersPerSecond: 16, ReadsPerSecond: 16, MaxOpenOrders: 16,
--- a/internal/emulator/site/site_test.go
+++ b/internal/emulator/site/site_test.go
@@ -81,6 +81,12 @@
 
 // newFixture starts a site with all entry hosts and waits 4 s of virtual time.
 func newFixture(t *testing.T, seed uint64) *fixture {
+	t.Helper()
+	return newFixtureOf(t, layout, configuration, seed)
+}
+
+// newFixtureOf does the same for a site of its own layout and configuration.
+func newFixtureOf(t *testing.T, layout Layout, configuration *queue.Configuration, seed uint64) *fixture {
 	t.Helper()
 	started = time.Now()
 	f := &fixture{t: t, site: New(layout, seed, events(t)), queue: map[job.ID]string{}}
--- a/internal/emulator/site/worker.go
+++ b/internal/emulator/site/worker.go
@@ -19,14 +19,21 @@
 type Worker struct {
 	site *Site
 	id   worker.ID
-	// pool, dataCentre, rack and capacity are fixed for one incarnation.
+	// pool, dataCentre, rack and machine are fixed for one incarnation.
 	pool       string
 	dataCentre string
 	rack       string
-	capacity   worker.Resources
 	machine    string
+	// checksCapacity means that the worker refuses starts that don't fit.
+	checksCapacity bool
+
+	mu       sync.Mutex
+	capacity worker.Resources
+	// formerCapacities are the capacities before the present one, the oldest first.
+	formerCapacities []formerCapacity
+	// capacityReportedAt is when the present capacity was first reported, zero before.
+	capacityReportedAt time.Time
 
-	mu          sync.Mutex
 	startedAt   time.Time
 	incarnation worker.Incarnation
 	dead        bool
@@ -78,7 +85,8 @@
 	now := time.Now()
 	w := &Worker{
 		site: s, id: id, pool: m.pool, dataCentre: m.dataCentre, rack: m.rack, capacity: m.capacity, machine: m.name,
-		startedAt: now, incarnation: worker.Incarnation(now.UnixMilli()), clockRate: clockRate, runs: map[runKey]*taskRun{}, expiriesAtEnd: map[int64]int{},
+		checksCapacity: s.checksCapacity(m.pool),
+		startedAt:      now, incarnation: worker.Incarnation(now.UnixMilli()), clockRate: clockRate, runs: map[runKey]*taskRun{}, expiriesAtEnd: map[int64]int{},
 		highestEndedRun: map[worker.TaskName]int64{}, changed: make(chan struct{}),
 	}
 	return w
@@ -133,9 +141,12 @@
 		return reply(worker.RefusedInvalid)
 	}
 	r := &taskRun{key: key, needs: actual.step.Reserved(), began: time.Now(), checkpoint: o.Checkpoint}
-	if !r.needs.Fits(w.free()) {
+	if w.checksCapacity && !r.needs.Fits(w.free()) {
 		return reply(worker.RefusedCapacity)
 	}
+	if !w.checksCapacity {
+		w.checkLimit(r, from, late)
+	}
 	w.site.ledger.started(w, o, actual, late)
 	w.runs[key] = r
 	w.begin(r, actual)
--- a/internal/jobhost/follower.go
+++ b/internal/jobhost/follower.go
@@ -9,6 +9,7 @@
 
 	"github.com/hornbeammast/hornbeammast/internal/pause"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/verdict"
 )
 
 const (
@@ -39,8 +40,14 @@
 	// onLoaded, if set, is called after each load, once the records that were in the log
 	// have been applied.
 	onLoaded func()
-	// onAnswer, if set, is called after each answer of the log.
-	onAnswer func()
+	// onAnswer, if set, is called after each answer of the log to a read that was sent at sent.
+	onAnswer func(sent time.Time)
+
+	// onRefused, if set, is called after each call that the log refused.
+	onRefused func()
+	// onCurrent, if set, is called after each read that leaves nothing unread, with the time at
+	// which it was sent and that of the answer.
+	onCurrent func(sent, at time.Time)
 
 	// gather is how long to wait after a read that returned records, so that the next one
 	// returns several.
@@ -68,6 +75,9 @@
 				"topic", f.partition.Topic, "partition", f.partition.Number, "offset", f.from, "error", err)
 		}
 		if err != nil {
+			if f.onRefused != nil && verdict.FromError(err).Verdict == verdict.NotRun {
+				f.onRefused()
+			}
 			_ = pause.For(ctx, retryPause)
 		}
 	}
@@ -127,6 +137,7 @@
 func (f *follower) read(ctx context.Context, wait time.Duration) (keyedlog.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+readSlack)
 	defer cancel()
+	sent := f.now()
 	batch, err := f.log.Read(ctx, f.partition, f.from, wait)
 	if err != nil {
 		return batch, err
@@ -134,11 +145,15 @@
 	if batch.Unreadable > 0 {
 		f.events.Event("records-unreadable", "topic", f.partition.Topic, "partition", f.partition.Number, "count", batch.Unreadable)
 	}
+	answeredAt := f.now()
 	if f.onAnswer != nil {
-		f.onAnswer()
+		f.onAnswer(sent)
 	}
 	f.apply(batch.Records)
 	f.moveTo(batch.Next)
+	if f.onCurrent != nil && batch.Next >= batch.End {
+		f.onCurrent(sent, answeredAt)
+	}
 	return batch, nil
 }
 
--- a/internal/jobhost/job_host.go
+++ b/internal/jobhost/job_host.go
@@ -69,6 +69,7 @@
 
 	operators *operatorsView
 	hosts     *hostsView
+	reports   *schedule.ReportFeed
 	keeper    *owner.Keeper
 	candidacy *candidacyLoop
 	contact   contact
@@ -118,6 +119,7 @@
 	h.peers = peer.NewJobClient(h.network)
 	h.operators = &operatorsView{codec: platform.Records, events: events, onChange: h.refresh, waves: map[int64]machine.Wave{}}
 	h.hosts = &hostsView{codec: platform.Records, events: events, onChange: h.refresh, hosts: map[worker.ID]worker.Report{}}
+	h.reports = schedule.NewReportFeed(s.Limits)
 	member := memberName(&s, server.Address(), now())
 	h.candidacy = newCandidacyLoop(h, now())
 	h.directory = newDirectory(h, member)
@@ -134,7 +136,7 @@
 func (h *JobHost) startLoops(ctx context.Context) {
 	operators := &follower{
 		log: h.platform.Log, events: h.events, partition: h.platform.Records.OperatorPartition(), now: h.now,
-		apply: h.operators.apply, onAnswer: func() { h.contact.answered(h.now()) },
+		apply: h.operators.apply, onAnswer: h.operatorsAnswered, onRefused: h.reports.LogRefused,
 	}
 	h.loops.Go(func() { operators.run(ctx) })
 	h.loops.Go(func() { h.askPeers(ctx) })
@@ -142,6 +144,11 @@
 	h.loops.Go(func() { h.candidacy.run(ctx) })
 }
 
+func (h *JobHost) operatorsAnswered(sent time.Time) {
+	h.contact.answered(h.now())
+	h.reports.LogAnswered(sent)
+}
+
 // askPeers fetches newer configurations from peers while the log does not answer this
 // entry host.
 func (h *JobHost) askPeers(ctx context.Context) {
--- a/internal/jobhost/pool_runner.go
+++ b/internal/jobhost/pool_runner.go
@@ -157,7 +157,7 @@
 		r.pool.Started(start.Target.ID, start.Order, r.host.now(), worker.StartReply{}, true, errTenureOver)
 		return
 	}
-	if !r.pool.StillFits(start.Target.ID, start.Order) {
+	if !r.pool.StillFits(start.Target.ID, start.Order, r.host.now()) {
 		r.pool.Started(start.Target.ID, start.Order, r.host.now(), worker.StartReply{}, true, errCapacityShrunk)
 		return
 	}
--- a/internal/jobhost/recorder.go
+++ b/internal/jobhost/recorder.go
@@ -16,7 +16,7 @@
 
 var (
 	errTenureOver     = errors.New("the tenure has ended or is not confirmed; no order was sent")
-	errCapacityShrunk = errors.New("the host's capacity has shrunk; no order was sent")
+	errCapacityShrunk = errors.New("the host's capacity has shrunk or is not known any more; no order was sent")
 )
 
 // recorder writes the records of a partition's pools, callers and peers to the log. It
--- a/internal/jobhost/tenures.go
+++ b/internal/jobhost/tenures.go
@@ -31,7 +31,7 @@
 	h.unfollow = cancel
 	hosts := &follower{
 		log: h.platform.Log, events: h.events, partition: h.platform.Records.WorkerPartition(), now: h.now,
-		reset: h.hosts.reset, apply: h.hosts.apply, gather: hostsGatherTime,
+		reset: h.hosts.reset, apply: h.hosts.apply, gather: hostsGatherTime, onCurrent: h.reports.ReportsRead, onRefused: h.reports.LogRefused,
 	}
 	h.loops.Go(func() { hosts.run(ctx) })
 }
--- a/internal/protocol/settings/job_settings.go
+++ b/internal/protocol/settings/job_settings.go
@@ -42,6 +42,8 @@
 	// MinGroupTTL is the shortest time after which an unresponsive member may lose its
 	// partitions.
 	MinGroupTTL fleet.Duration `json:"least-group-ttl,omitempty"`
+	// ReportInterval is how often workers report about themselves in the log.
+	ReportInterval fleet.Duration `json:"report-interval,omitempty"`
 	// MachineOrdersPerSecond and MachineReadsPerSecond are rate limits of the machine
 	// service; all entry hosts share them.
 	MachineOrdersPerSecond float64 `json:"machine-orders-per-second,omitempty"`
@@ -64,6 +66,9 @@
 	NoticeTime fleet.Duration `json:"notice-time,omitempty"`
 	// StopTime is how long a worker may take to end a run that it was ordered to stop.
 	StopTime fleet.Duration `json:"stop-time,omitempty"`
+	// ContactTime is how long a change in a worker's report may take to have effect, beyond
+	// the interval of the reports.
+	ContactTime fleet.Duration `json:"contact-time,omitempty"`
 	// CheckpointInterval is the working time between two checkpoints of a task.
 	CheckpointInterval fleet.Duration `json:"checkpoint-every,omitempty"`
 	// EndedJobRetention is how long the state of an ended job can be queried.
@@ -95,13 +100,15 @@
 func DefaultJobSettings() JobSettings {
 	return JobSettings{
 		Platform: PlatformSettings{
-			MinGroupTTL: fleet.Duration(time.Second), MachineOrdersPerSecond: 8, MachineReadsPerSecond: 8,
+			MinGroupTTL: fleet.Duration(time.Second), ReportInterval: fleet.Duration(1500 * time.Millisecond),
+			MachineOrdersPerSecond: 8, MachineReadsPerSecond: 8,
 		},
 		Bounds: Bounds{
 			MaxLease: fleet.Duration(10 * time.Second), MoveTime: fleet.Duration(2 * time.Second),
 			MaintenanceTime: fleet.Duration(2 * time.Second), HolderLease: fleet.Duration(3 * time.Second),
 			NoticeTime:         fleet.Duration(5 * time.Second),
 			StopTime:           fleet.Duration(time.Second),
+			ContactTime:        fleet.Duration(3 * time.Second),
 			CheckpointInterval: fleet.Duration(time.Second), EndedJobRetention: fleet.Duration(2 * time.Minute),
 			RemoteDataFactor: 2, ShutdownGrace: fleet.Duration(6 * time.Second), LostHosts: 2, LostDataCentres: 1,
 		},
