Give up tasks that crash the hosts that start them

Cause: a run that was lost with its host was no attempt: only ends that a worker lists as failed count. A lost task was startable again at once, on a loaded host, without a limit.

The new tests of the emulator failed before with 48 lines of "budget: ... was started N times more after 3 workers had crashed by it".

Change: the crash of a host is told from silence, lapsed leases, drains, moves and maintenance, and logged (host-crashed). It is counted against the runs lost, by run number in the record of progress, so that a new owner knows it. A task whose run was just starting is a suspect: its next run starts where nothing else is starting and little is at risk, and nothing else starts there until the host has survived. Two crashes without another run starting, three as the only suspect, or four in any case fail the job, with the reason in the log. Crashes under runs that had worked for a while, under starts without an answer, and from before the tenure are weak evidence and count for the last bound only; two seconds of work clear the count.

A job that ends without a worker's answer is now recorded at once; the test found that its state stayed as it was until the next event.

The trial isolates a cause after one further crash, so that a deadly task costs two or three hosts, below the bound of five starts, and other tasks that were lost with it get their run.

--- a/internal/coordination/schedule/cordon.go
+++ b/internal/coordination/schedule/cordon.go
@@ -40,6 +40,7 @@
 			p.events.Event("host-restricted", "host", id, "pool", p.name, "use", use, "before", h.use, "runs", len(h.runs))
 		}
 		h.use = use
+		h.leaving = use == UseNone && (h.leaving || h.confirmed)
 	}
 	return all
 }
--- /dev/null
+++ b/internal/coordination/schedule/crash_test.go
@@ -0,0 +1,201 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
+	"github.com/hornbeammast/hornbeammast/internal/state/jobs"
+)
+
+// crash ends a host's worker as a crash does.
+func (h *harness) crash(id worker.ID) {
+	h.pool.RenewalFailed(id, errNoAnswer)
+	h.pool.WorkerEnded(id, h.now)
+}
+
+// survive lets a host list runs after the time in which they could have crashed it.
+func (h *harness) survive(id worker.ID, incarnation worker.Incarnation, starts ...Start) {
+	h.advance(startupTime)
+	var running []worker.ActiveRun
+	for _, s := range starts {
+		running = append(running, worker.ActiveRun{Task: s.Order.Task, Run: s.Order.Run, Percent: 100, Usage: 1})
+	}
+	h.renewRunning(id, incarnation, running)
+}
+
+func (h *harness) wantState(id job.ID, want job.State) {
+	h.Helper()
+	h.record()
+	if state, _ := h.pool.State(id); state != want {
+		h.Errorf("job %s is %q; want %s", id, state, want)
+	}
+}
+
+func sortStarts(starts []Start) {
+	slices.SortFunc(starts, func(a, b Start) int { return cmp.Compare(a.Order.Task.String(), b.Order.Task.String()) })
+}
+
+// TestDeadlyTaskIsStartedAgain: a task that crashed two hosts, the second one alone, is given up.
+func TestDeadlyTaskIsStartedAgain(t *testing.T) {
+	h := newHarness(t, "h1", "h2", "h3")
+	h.add(idA, testStep(1, 1000))
+	for range 2 {
+		starts, _ := h.plan()
+		h.wantStarts(starts, idA+".0.0.0")
+		h.accept(starts...)
+		h.crash(starts[0].Target.ID)
+		h.advance(time.Second)
+	}
+	h.wantState(idA, job.Failed)
+	none, _ := h.plan()
+	h.wantStarts(none)
+}
+
+// TestUnansweredStartIsBlamed: a host may have crashed before it began the task.
+func TestUnansweredStartIsBlamed(t *testing.T) {
+	h := newHarness(t, "h1", "h2", "h3")
+	h.add(idA, testStep(1, 1000))
+	first, _ := h.plan()
+	h.crash(first[0].Target.ID)
+	for _, want := range []job.State{job.Running, job.Failed} {
+		h.advance(time.Second)
+		starts, _ := h.plan()
+		h.wantStarts(starts, idA+".0.0.0")
+		h.accept(starts...)
+		h.crash(starts[0].Target.ID)
+		h.wantState(idA, want)
+	}
+}
+
+// TestSuspectsShareAHost: if two suspects start on one host, a crash does not tell the cause.
+func TestSuspectsShareAHost(t *testing.T) {
+	h := newHarness(t, "h1")
+	h.add(idA, testStep(1, 1000))
+	h.add(idB, testStep(1, 1000))
+	starts, _ := h.plan()
+	sortStarts(starts)
+	h.wantStarts(starts, idA+".0.0.0", idB+".0.0.0")
+	h.accept(starts...)
+	h.list("h1", "h2", "h3")
+	h.renew("h2", 1)
+	h.renew("h3", 1)
+	h.crash("h1")
+	h.add("cccccccccccccccc", testStep(1, 1000))
+	again, _ := h.plan()
+	sortStarts(again)
+	h.wantStarts(again, idA+".0.0.0", idB+".0.0.0")
+	if again[0].Target.ID == again[1].Target.ID {
+		t.Errorf("both suspects were started on %s", again[0].Target.ID)
+	}
+	h.accept(again...)
+	h.survive(again[0].Target.ID, 1, again[0])
+	third, _ := h.plan()
+	h.wantStarts(third, "cccccccccccccccc.0.0.0")
+	h.accept(third...)
+	h.crash(again[1].Target.ID)
+	h.wantState(idB, job.Failed)
+	h.wantState(idA, job.Running)
+}
+
+// TestWorkingTaskIsBlamedForACrash: another task that had just been started is the cause.
+func TestWorkingTaskIsBlamedForACrash(t *testing.T) {
+	h := newHarness(t, "h1")
+	h.add(idA, testStep(1, 1000))
+	for n := range likelyCrashes {
+		starts, _ := h.plan()
+		h.wantStarts(starts, idA+".0.0.0")
+		h.accept(starts...)
+		h.survive(starts[0].Target.ID, worker.Incarnation(1+n), starts...)
+		deadly := job.ID(string(rune('b'+n)) + "bbbbbbbbbbbbbbb")
+		h.add(deadly, testStep(1, 1000))
+		second, _ := h.plan()
+		h.wantStarts(second, string(deadly)+".0.0.0")
+		h.crash(second[0].Target.ID)
+		h.pool.CancelJob(deadly, h.now)
+		h.advance(time.Second)
+		h.renew("h1", worker.Incarnation(2+n))
+	}
+	h.wantState(idA, job.Running)
+	starts, _ := h.plan()
+	h.wantStarts(starts, idA+".0.0.0")
+}
+
+// TestLateCrashIsNotBlamed: a task that crashes its hosts only after a while is given up, too.
+func TestLateCrashIsNotBlamed(t *testing.T) {
+	h := newHarness(t, "h1")
+	h.add(idA, testStep(1, 1000))
+	for n := range maxCrashes {
+		starts, _ := h.plan()
+		h.wantStarts(starts, idA+".0.0.0")
+		h.accept(starts...)
+		h.advance(time.Second)
+		h.renewRunning("h1", worker.Incarnation(1+n), []worker.ActiveRun{{Task: starts[0].Order.Task, Run: starts[0].Order.Run, Percent: 100, Usage: 1}})
+		h.crash("h1")
+		h.renew("h1", worker.Incarnation(2+n))
+	}
+	h.wantState(idA, job.Failed)
+}
+
+// TestCrashesAreForgottenWithTheOwner: an owner counts the crashes before its tenure.
+func TestCrashesAreForgottenWithTheOwner(t *testing.T) {
+	definition := &job.Job{ID: idA, Queue: "tiles", Pool: "maps", Steps: []job.Step{testStep(1, 1000)}, MaxAttempts: 2, AcceptedAt: epoch}
+	before := jobs.New(definition)
+	for run := range int64(maxCrashes - 1) {
+		before.MarkCrashed(0, 0, 0, run)
+	}
+	data, err := before.MarshalProgress()
+	if err != nil {
+		t.Fatal(err)
+	}
+	inherited := jobs.New(definition)
+	if err := inherited.ApplyProgress(data); err != nil {
+		t.Fatal(err)
+	}
+	h := newHarness(t, "h2")
+	h.pool.AddJob(inherited)
+	starts, _ := h.plan()
+	h.wantStarts(starts, idA+".0.0.0")
+	h.accept(starts...)
+	h.crash("h2")
+	h.wantState(idA, job.Failed)
+}
+
+// TestOrderedEndIsBlamed: a host that was draining or cordoned has not crashed.
+func TestOrderedEndIsBlamed(t *testing.T) {
+	h := newHarness(t, "h1", "h2")
+	h.add(idA, testStep(1, 1000))
+	starts, _ := h.plan()
+	h.pool.Restrict([]worker.ID{starts[0].Target.ID}, UseNone)
+	h.crash(starts[0].Target.ID)
+	starts, _ = h.plan()
+	h.wantStarts(starts, idA+".0.0.0")
+	leaving := report(starts[0].Target.ID)
+	leaving.Draining = true
+	h.pool.SetHosts([]worker.Report{leaving}, h.now)
+	h.crash(leaving.ID)
+	if n := len(h.pool.suspects); n != 0 {
+		t.Errorf("%d tasks are suspected; want none", n)
+	}
+}
+
+// TestLongRunningTaskCollectsCrashes: hosts crash now and then under a task that works for long.
+func TestLongRunningTaskCollectsCrashes(t *testing.T) {
+	h := newHarness(t, "h1")
+	longRunning := testStep(1, 1000)
+	longRunning.LongRunning = true
+	h.add(idA, longRunning)
+	for n := range 2 * maxCrashes {
+		starts, _ := h.plan()
+		h.wantStarts(starts, idA+".0.0.0")
+		h.accept(starts...)
+		h.advance(soundRunTime)
+		h.renewRunning("h1", worker.Incarnation(1+n), []worker.ActiveRun{{Task: starts[0].Order.Task, Run: starts[0].Order.Run, Percent: 100}})
+		h.crash("h1")
+		h.renew("h1", worker.Incarnation(2+n))
+	}
+	h.wantState(idA, job.Running)
+}
--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -86,7 +86,7 @@
 		h.contactedAt = now
 		h.expiry = earlier(h.expiry, now.Add(p.limits.maxLeaseDuration()))
 	}
-	h.confirmed = true
+	h.confirmed, h.leaving = true, h.cordoned()
 	h.updateClock(now, reply.Clock)
 	h.extendExpiry()
 	for n := range reply.Ended {
@@ -130,6 +130,9 @@
 		p.events.Event("host-restarted", "host", h.report.ID, "pool", p.name, "life", incarnation, "before", h.incarnation, "runs", len(h.runs))
 	}
 	known := h.incarnation != 0
+	if known {
+		p.hostCrashed(h, now)
+	}
 	h.incarnation = incarnation
 	h.clock, h.clockAt, h.leaseSent = 0, now, 0
 	h.received, h.acknowledged = 0, 0
--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -43,9 +43,17 @@
 	// startsInFlight counts placed runs whose start is not yet sent or not yet answered.
 	startsInFlight int
 	use            Use
+	// leaving is set while the host is cordoned and was so when it last answered.
+	leaving bool
 	// pausedUntil is the time until which nothing is started after a refusal.
 	pausedUntil time.Time
 	health      health
+	// lastStart is when a run was last placed on the host.
+	lastStart time.Time
+	// trial is the run of a suspected task that is starting on the host, or nil.
+	trial *run
+	// trialQueried is the last trial after which the host was asked what it runs.
+	trialQueried *run
 }
 
 type runKey struct {
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -11,6 +11,7 @@
 	waiting := false
 	lowest := p.leastUrgentPriority()
 	var unplaced unplacedDemands
+	p.placeSuspects(now, orders)
 	for _, c := range p.candidates(now) {
 		if c.step.job.NeedsPlacementCheck {
 			if q, ok := p.placementQuery(c.step, now); ok {
@@ -75,7 +76,7 @@
 
 // allowed reports whether a task of a step may be started on a host now.
 func (p *Pool) allowed(s *step, h *host, now time.Time) bool {
-	if !h.usable(now) || !s.def.Reserved().Fits(h.free()) {
+	if !h.usable(now) || h.onTrial() || !s.def.Reserved().Fits(h.free()) {
 		return false
 	}
 	if s.def.RequiredLabel != "" && s.def.RequiredLabel != h.report.Kind && s.def.RequiredLabel != h.report.Rack {
@@ -101,6 +102,7 @@
 	}
 	p.attach(r)
 	h.startsInFlight++
+	h.lastStart = now
 	e.started = true
 	p.markDirty(e)
 	orders.HasPlacements = true
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -10,10 +10,14 @@
 // placements are recorded; see Recorded.
 type Orders struct {
 	// HasPlacements is set when new placements wait to be recorded.
-	HasPlacements    bool
+	HasPlacements bool
+	// HasGivenUp is set when jobs were given up, whose state waits to be recorded.
+	HasGivenUp       bool
 	Stops            []Stop
 	Throttles        []Throttle
 	PlacementQueries []PlacementQuery
+	// RunQueries are the hosts to be asked at once what they run.
+	RunQueries []worker.Target
 }
 
 // Start is a start order and the host that it goes to.
@@ -48,11 +52,14 @@
 	}
 	p.expireLeases(now)
 	p.expireReservations(now)
+	p.clearSuspicions()
 	p.stopUnneeded(now)
 	p.evacuate(now)
 	p.place(now, &orders)
+	p.queryTrials(now, &orders)
 	p.throttle(now, &orders)
 	p.planStops(now, &orders)
+	orders.HasGivenUp, p.hasGivenUp = p.hasGivenUp, false
 	return orders
 }
 
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -38,7 +38,11 @@
 	dirty          map[job.ID]*jobEntry
 	unacknowledged map[worker.ID]*host
 	reservations   map[*task]reservation
-	hosts          map[worker.ID]*host
+	// suspects holds the tasks under which a host has crashed.
+	suspects map[*task]struct{}
+	// hasGivenUp is set until the next plan when a job was given up.
+	hasGivenUp bool
+	hosts      map[worker.ID]*host
 	// fenced is set once a host has accepted the fencing token of a later owner.
 	fenced    bool
 	estimates estimates
@@ -52,8 +56,8 @@
 		checksCapacity:  true,
 		jobs:            map[job.ID]*jobEntry{}, hosts: map[worker.ID]*host{},
 		open: map[job.ID]*jobEntry{}, dirty: map[job.ID]*jobEntry{}, unacknowledged: map[worker.ID]*host{},
-		reservations: map[*task]reservation{},
-		estimates:    estimates{},
+		reservations: map[*task]reservation{}, suspects: map[*task]struct{}{},
+		estimates: estimates{},
 	}
 }
 
@@ -94,6 +98,7 @@
 		p.inherit(e, placed)
 	}
 	j.Placements = nil
+	p.inheritCrashes(e, p.tenureStart)
 }
 
 // inherit adds a run that an earlier owner recorded. Its task is not started again
@@ -252,6 +257,7 @@
 	}
 	p.events.Event("host-gone", "host", id, "pool", p.name, "runs", len(h.runs), "heard", h.heardAt)
 	h.expiry = now
+	p.hostCrashed(h, now)
 	p.releaseAll(h, now)
 }
 
--- a/internal/coordination/schedule/rank.go
+++ b/internal/coordination/schedule/rank.go
@@ -76,7 +76,7 @@
 func (s *step) startableTasks(now time.Time) []*task {
 	var tasks []*task
 	for _, t := range s.tasks {
-		if t.startable(now) {
+		if t.startable(now) && !t.needsTrial() {
 			tasks = append(tasks, t)
 		}
 	}
--- a/internal/coordination/schedule/task.go
+++ b/internal/coordination/schedule/task.go
@@ -52,6 +52,10 @@
 	notBefore time.Time
 	// avoidHost is the host on which the last run failed or hung.
 	avoidHost worker.ID
+	// suspectedAt is when the task became a suspect, zero while it is none.
+	suspectedAt time.Time
+	// weakCrashes counts those of the task's crashes that are weak evidence.
+	weakCrashes int
 	// downSince is when the last run of a long-running task was released.
 	downSince time.Time
 }
--- /dev/null
+++ b/internal/emulator/site/crashes_test.go
@@ -0,0 +1,105 @@
+package site
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
+)
+
+// TestDeadlyTaskIsStartedWithoutEnd: a task crashes each worker that starts it.
+func TestDeadlyTaskIsStartedWithoutEnd(t *testing.T) {
+	testDeadlyTasks(t, 1, func(*fixture) {})
+}
+
+// TestDeadlyTaskOutlivesItsOwner: a new owner has to know the crashes before its tenure.
+func TestDeadlyTaskOutlivesItsOwner(t *testing.T) {
+	testDeadlyTasks(t, 2, func(f *fixture) {
+		for range 3 {
+			time.Sleep(time.Second)
+			for n, h := range f.hosts {
+				if h.Owns("maps") {
+					f.restart(n, time.Second)
+				}
+			}
+		}
+	})
+}
+
+// TestCrashesAreBlamedOnTasks: workers crash by themselves, under tasks that did not cause it.
+func TestCrashesAreBlamedOnTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 3)
+		f.wait.Go(func() {
+			for range 12 {
+				time.Sleep(400 * time.Millisecond)
+				f.site.CrashWorker(crashDowntime)
+			}
+		})
+		for range 60 {
+			f.submit("tiles", deadlySteps(), nil)
+			time.Sleep(100 * time.Millisecond)
+		}
+		f.wait.Wait()
+		time.Sleep(30 * time.Second)
+		f.finish()
+	})
+}
+
+// TestRandomWithDeadlyTasks: deadly tasks are started without end beside faults of all kinds.
+func TestRandomWithDeadlyTasks(t *testing.T) {
+	for n := range *seeds {
+		seed := *firstSeed + uint64(n)
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runRandom(t, seed, submitDeadlyJobs) })
+		})
+	}
+}
+
+// submitDeadlyJobs submits jobs with a deadly task, one of them a gang.
+func submitDeadlyJobs(f *fixture) {
+	for n := range 8 {
+		time.Sleep(4 * time.Second)
+		steps := deadlySteps()
+		steps[1].Gang = n == 5
+		f.submit("tiles", steps, func(_ *job.Job, actual []taskBehaviour) { actual[n%2].deadly = map[int]bool{1: true} })
+	}
+}
+
+func deadlySteps() []job.Step {
+	return []job.Step{newStep(4, 1000, 500*time.Millisecond), newStep(2, 1000, 300*time.Millisecond, 0)}
+}
+
+// testDeadlyTasks submits deadly jobs among sound ones while disturb runs. The deadly ones must
+// fail, the sound ones end as done.
+func testDeadlyTasks(t *testing.T, seed uint64, disturb func(*fixture)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, seed)
+		want := map[job.ID]job.State{}
+		f.wait.Go(func() { disturb(f) })
+		for n := range 60 {
+			deadly := n%12 == 5
+			id := f.submit("tiles", deadlySteps(), func(_ *job.Job, actual []taskBehaviour) {
+				actual[0].failShare, actual[1].failShare = 0, 0
+				if deadly {
+					actual[n%2].deadly = map[int]bool{1: true}
+				}
+			})
+			want[id] = job.Done
+			if deadly {
+				want[id] = job.Failed
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		f.wait.Wait()
+		time.Sleep(30 * time.Second)
+		for id, state := range want {
+			if got := f.site.JobState("tiles", id); got != state {
+				t.Errorf("job %s is %q; want %s", id, got, state)
+			}
+		}
+		f.finish()
+	})
+}
--- a/internal/emulator/site/faults.go
+++ b/internal/emulator/site/faults.go
@@ -38,6 +38,7 @@
 	if m == nil {
 		return
 	}
+	s.ledger.crashed(m.worker)
 	s.takeDown(m, machine.Down, m.pool, duration)
 }
 
--- a/internal/emulator/site/ledger.go
+++ b/internal/emulator/site/ledger.go
@@ -45,6 +45,8 @@
 	// poison makes every run fail, failShare a random share of the runs.
 	poison    bool
 	failShare float64
+	// deadly holds the indexes of the tasks that crash the worker that starts them.
+	deadly map[int]bool
 }
 
 // taskHistory is the history of one task's runs.
@@ -69,6 +71,7 @@
 	// failures up to that start. The start is a violation if at least MaxAttempts of them
 	// are acknowledged in the end, before or after it.
 	startsOverLimit []map[runKey]bool
+	crashHistory
 }
 
 // earlyStart is a start of a task after the successful ends of some of its runs.
@@ -221,7 +224,7 @@
 			continue
 		}
 		runs := h.failed
-		if len(runs) >= s.MaxAttempts {
+		if len(runs) >= s.MaxAttempts || h.crashedUnder >= crashesToFail {
 			return
 		}
 		// A gang fails as a whole, so the failed runs of its members count together.
--- a/internal/emulator/site/ledger_tasks.go
+++ b/internal/emulator/site/ledger_tasks.go
@@ -34,6 +34,7 @@
 		h.startsOverLimit = append(h.startsOverLimit, maps.Clone(h.failed))
 	}
 	l.checkOrder(o, s, actual)
+	l.checkCrashes(o, h)
 	h.running[runKey{o.Task, o.Run}] = w.id
 	h.endedByOrder = false
 	l.checkSpread(w, o.Task, actual)
--- a/internal/emulator/site/machines.go
+++ b/internal/emulator/site/machines.go
@@ -30,6 +30,8 @@
 	// maintained holds the waves in which the machine was taken down.
 	maintained map[int64]bool
 	token      worker.FencingToken
+	// keepID makes the next incarnation's worker have the same ID as the last one.
+	keepID bool
 }
 
 // machineAccess is an entry host's client of the machine service.
@@ -172,7 +174,10 @@
 	if m.pool == SparePool {
 		return
 	}
-	m.incarnations++
+	if !m.keepID {
+		m.incarnations++
+	}
+	m.keepID = false
 	id := worker.ID(fmt.Sprintf("%s.%d", m.name, m.incarnations))
 	m.worker = newWorker(s, id, m, 1-maxClockSlowdown*s.random())
 	s.workers[id] = m.worker
--- a/internal/emulator/site/random_test.go
+++ b/internal/emulator/site/random_test.go
@@ -21,8 +21,11 @@
 	}
 }
 
-func runRandom(t *testing.T, seed uint64) {
+func runRandom(t *testing.T, seed uint64, beside ...func(*fixture)) {
 	f := newFixture(t, seed)
+	for _, b := range beside {
+		f.wait.Go(func() { b(f) })
+	}
 	for _, perHost := range []int{1, 2} {
 		f.submit("serving", []job.Step{{
 			Tasks: 4, Needs: worker.Resources{CPU: 2000, MemoryMB: 4000}, LongRunning: true, MaxPerHost: perHost, MaxUnavailable: 1,
--- a/internal/emulator/site/worker.go
+++ b/internal/emulator/site/worker.go
@@ -138,6 +138,10 @@
 	}
 	w.site.ledger.started(w, o, actual, late)
 	w.runs[key] = r
+	if actual.deadly[o.Task.Index] {
+		w.site.ledger.crashedBy(o.Task)
+		time.AfterFunc(crashDelay, func() { w.site.crash(w) })
+	}
 	w.begin(r, actual)
 	return reply(worker.Accepted)
 }
--- a/internal/jobhost/pool_runner.go
+++ b/internal/jobhost/pool_runner.go
@@ -92,7 +92,7 @@
 	}
 	orders := r.pool.Plan(now)
 	r.pacer.Planned(now, r.host.now())
-	if orders.HasPlacements {
+	if orders.HasPlacements || orders.HasGivenUp {
 		r.signalRecorder()
 	}
 	for _, order := range orders.Stops {
@@ -101,6 +101,9 @@
 	for _, order := range orders.Throttles {
 		r.send(ctx, order.Target, func(ctx context.Context) { r.throttle(ctx, order) })
 	}
+	for _, target := range orders.RunQueries {
+		r.send(ctx, target, func(ctx context.Context) { r.queryRuns(ctx, target) })
+	}
 	for _, query := range orders.PlacementQueries {
 		r.loops.Go(func() { r.checkPlacement(ctx, query) })
 	}
--- a/internal/state/jobs/job.go
+++ b/internal/state/jobs/job.go
@@ -46,11 +46,15 @@
 	done  int
 }
 
-// Task is the recorded progress of a task. What is recorded is never undone.
+// Task is the recorded progress of a task. What is recorded is never undone, except for
+// CrashedRuns.
 type Task struct {
 	Done bool
 	// FailedRuns are the numbers of the runs that have failed.
 	FailedRuns []int64
+	// CrashedRuns are the numbers of the runs that were lost because their host crashed,
+	// since the task last worked well.
+	CrashedRuns []int64
 }
 
 // New returns a job without progress.
--- a/internal/state/jobs/progress.go
+++ b/internal/state/jobs/progress.go
@@ -46,7 +46,7 @@
 	hasProgress := false
 	for n := range o.Steps {
 		s := o.Steps[n].toProto()
-		hasProgress = hasProgress || len(s.GetDone()) > 0 || len(s.GetFailures()) > 0
+		hasProgress = hasProgress || len(s.GetDone()) > 0 || len(s.GetFailures()) > 0 || len(s.GetCrashes()) > 0
 		m.Steps = append(m.Steps, s)
 	}
 	if !hasProgress {
@@ -65,7 +65,10 @@
 			m.Done[n/8] |= 1 << (n % 8)
 		}
 		if len(s.Tasks[n].FailedRuns) > 0 {
-			m.Failures = append(m.Failures, &wire.TaskFailures{Index: int32(n), Runs: s.Tasks[n].FailedRuns}) //nolint:gosec // Bounded by job.MaxTasks.
+			m.Failures = append(m.Failures, &wire.TaskRuns{Index: int32(n), Runs: s.Tasks[n].FailedRuns}) //nolint:gosec // Bounded by job.MaxTasks.
+		}
+		if len(s.Tasks[n].CrashedRuns) > 0 {
+			m.Crashes = append(m.Crashes, &wire.TaskRuns{Index: int32(n), Runs: s.Tasks[n].CrashedRuns}) //nolint:gosec // Bounded by job.MaxTasks.
 		}
 	}
 	return m
@@ -117,6 +120,7 @@
 				j.MarkFailed(number, step, int(failures.GetIndex()), run)
 			}
 		}
+		j.applyCrashes(number, step, s)
 	}
 }
 
