The age of an earlier owner's run is no evidence against its task

Callers would see: a sound job shown as failed after two crashes of hosts that had borne its task for long, each just after a change of owner. Found by review, by reading. Cause: a run that this owner first learns of from a host's list is given the time of that list as the time of its start. When the host crashes within 150 ms, the run counts as one that was just starting, which is strong evidence; two such crashes fail the job. The class: the time at which something became known is used as the time at which it happened. An inherited run that has not been listed is treated with care already. Change: a crash under a run that an earlier owner started is weak evidence: it counts for the bound of four crashes only. Evidence and test: TestAdoptedRunIsBlamedAsIfJustStarted failed before: the job was failed. Why it works: only runs whose start this owner has sent have a known age.

--- a/internal/coordination/schedule/crash.go
+++ b/internal/coordination/schedule/crash.go
@@ -113,14 +113,15 @@
 }
 
 // countCrash counts the crash of a host against a run. The crash is weak evidence if the host
-// may not have begun the run, or had borne it for a while.
+// may not have begun the run, or has or may have borne it for a while, as one that an earlier
+// owner started.
 func (p *Pool) countCrash(r *run) {
 	s := r.task.step
 	if !s.job.MarkCrashed(s.occurrence, s.number, r.task.index, r.number) {
 		return
 	}
 	p.markDirty(s.job)
-	if r.startedAt.IsZero() || r.unconfirmed || r.workedFor() >= startupTime {
+	if r.startedAt.IsZero() || r.unconfirmed || r.adopted || r.workedFor() >= startupTime {
 		r.task.weakCrashes++
 	}
 	p.suspects[r.task] = struct{}{}
--- a/internal/coordination/schedule/crash_test.go
+++ b/internal/coordination/schedule/crash_test.go
@@ -199,3 +199,16 @@
 	}
 	h.wantState(idA, job.Running)
 }
+
+// TestAdoptedRunIsBlamedAsIfJustStarted: a run of an earlier owner may have worked for long when
+// this owner first sees it.
+func TestAdoptedRunIsBlamedAsIfJustStarted(t *testing.T) {
+	h := newHarness(t, "h1")
+	h.add(idA, testStep(1, 1000))
+	for n := range blamedCrashes {
+		adopted := worker.ActiveRun{Task: worker.TaskName{Job: idA}, Run: int64(100 + n), Percent: 100, Usage: 1}
+		h.renewRunning("h1", worker.Incarnation(1+n), []worker.ActiveRun{adopted})
+		h.crash("h1")
+	}
+	h.wantState(idA, job.Running)
+}
