--- a/internal/coordination/schedule/crash_test.go
+++ b/internal/coordination/schedule/crash_test.go
@@ -140,23 +140,30 @@
 	h.wantState(idA, job.Failed)
 }
 
-// TestCrashesAreForgottenWithTheOwner: an owner counts the crashes before its tenure.
-func TestCrashesAreForgottenWithTheOwner(t *testing.T) {
-	definition := &job.Job{ID: idA, Queue: "tiles", Pool: "maps", Steps: []job.Step{testStep(1, 1000)}, MaxAttempts: 2, AcceptedAt: epoch}
+// inheritCrashed adds a job from the record of an earlier owner, with crashes under its task.
+func (h *harness) inheritCrashed(id job.ID, crashes int64, placed ...jobs.Placement) {
+	h.Helper()
+	definition := &job.Job{ID: id, Queue: "tiles", Pool: "maps", Steps: []job.Step{testStep(1, 1000)}, MaxAttempts: 2, AcceptedAt: epoch}
 	before := jobs.New(definition)
-	for run := range int64(maxCrashes - 1) {
+	before.Placements = placed
+	for run := range crashes {
 		before.MarkCrashed(0, 0, 0, run)
 	}
 	data, err := before.MarshalProgress()
 	if err != nil {
-		t.Fatal(err)
+		h.Fatal(err)
 	}
 	inherited := jobs.New(definition)
 	if err := inherited.ApplyProgress(data); err != nil {
-		t.Fatal(err)
+		h.Fatal(err)
 	}
-	h := newHarness(t, "h2")
 	h.pool.AddJob(inherited)
+}
+
+// TestCrashesAreForgottenWithTheOwner: an owner counts the crashes before its tenure.
+func TestCrashesAreForgottenWithTheOwner(t *testing.T) {
+	h := newHarness(t, "h2")
+	h.inheritCrashed(idA, maxCrashes-1)
 	starts, _ := h.plan()
 	h.wantStarts(starts, idA+".0.0.0")
 	h.accept(starts...)
@@ -164,6 +171,19 @@
 	h.wantState(idA, job.Failed)
 }
 
+// TestInheritedRunClearsItsCrashes: that a host lists an inherited run does not mean that it has
+// survived the run for long.
+func TestInheritedRunClearsItsCrashes(t *testing.T) {
+	h := newHarness(t)
+	run := worker.ActiveRun{Task: worker.TaskName{Job: idA}, Run: 100, Percent: 100, Usage: 1}
+	h.inheritCrashed(idA, maxCrashes-1, jobs.Placement{Task: run.Task, Run: run.Run, Host: "h1"})
+	h.list("h1")
+	h.renewRunning("h1", 1, []worker.ActiveRun{run})
+	h.plan()
+	h.crash("h1")
+	h.wantState(idA, job.Failed)
+}
+
 // TestOrderedEndIsBlamed: a host that was draining or cordoned has not crashed.
 func TestOrderedEndIsBlamed(t *testing.T) {
 	h := newHarness(t, "h1", "h2")
--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -167,6 +167,10 @@
 		if r == nil {
 			continue
 		}
+		if r.state == stateInherited {
+			// When it was started is not recorded; how long it has worked counts from now.
+			r.sentAt = now
+		}
 		if r.state == stateSending || r.state == stateUnknown || r.state == stateInherited {
 			r.state, r.startedAt, r.unconfirmed, r.task.step.job.begun = stateRunning, now, false, true
 			p.stopIfSuperseded(r)
