A worker that drained and is back under its ID has not crashed

Callers would see: a sound job shown as failed under which no worker has crashed, when its workers are shut down as planned and come back under their IDs; at worst after two such shutdowns. Found by review, by reading. Cause: whether a host was told to leave is asked of its last report. The report of the next incarnation can be read before that one answers, and the runs that ended with the drained one were then put down to a crash, as starting or working ones. The class: a question about the past is answered from the newest state. Change: the host keeps which incarnation has said that it drains. Evidence and test: TestRestartAfterDrainIsBlamed failed before: the job was failed after two restarts. Why it works: the runs that are lost are those of the incarnation that answered last.

--- a/internal/coordination/schedule/crash.go
+++ b/internal/coordination/schedule/crash.go
@@ -24,7 +24,7 @@
 // hostCrashed counts the crash of a host against the tasks whose runs are lost with it. A host
 // that was told to leave has not crashed.
 func (p *Pool) hostCrashed(h *host, now time.Time) {
-	if h.report.Draining || h.leaving {
+	if h.wasToldToLeave() {
 		return
 	}
 	h.lastStart = time.Time{}
--- a/internal/coordination/schedule/crash_test.go
+++ b/internal/coordination/schedule/crash_test.go
@@ -232,3 +232,26 @@
 	}
 	h.wantState(idA, job.Running)
 }
+
+// TestRestartAfterDrainIsBlamed: a worker that has drained may be back under its ID, and have
+// reported, before it answers.
+func TestRestartAfterDrainIsBlamed(t *testing.T) {
+	h := newHarness(t, "h1")
+	h.add(idA, testStep(1, 1000))
+	for n := range worker.Incarnation(blamedCrashes) {
+		starts, _ := h.plan()
+		h.wantStarts(starts, idA+".0.0.0")
+		h.accept(starts...)
+		life := report("h1")
+		life.Incarnation, life.Draining = 1+n, true
+		h.pool.SetHosts([]worker.Report{life}, h.now)
+		h.pool.RenewalFailed("h1", errNoAnswer)
+		life.Incarnation, life.Draining = 2+n, false
+		h.pool.SetHosts([]worker.Report{life}, h.now)
+		h.renew("h1", 2+n)
+	}
+	h.wantState(idA, job.Running)
+	if n := len(h.pool.suspects); n != 0 {
+		t.Errorf("%d tasks are suspected; want none", n)
+	}
+}
--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -11,6 +11,9 @@
 	report worker.Report
 	// listed is set while the live list has the host.
 	listed bool
+	// drained is the incarnation that has said that it drains, or 0. It says so no more once the
+	// next one has reported.
+	drained worker.Incarnation
 	// confirmed is set while the worker answers and its incarnation is known; nothing
 	// is started on the host otherwise.
 	confirmed   bool
@@ -71,6 +74,12 @@
 	return &host{report: report, knownAt: knownAt, runs: map[runKey]*run{}, unknownRuns: map[runKey]time.Time{}}
 }
 
+// wasToldToLeave reports whether the present incarnation ends by intent: it drains, or was
+// vacated to be ordered away.
+func (h *host) wasToldToLeave() bool {
+	return h.report.Draining || h.leaving || (h.drained != 0 && h.drained == h.incarnation)
+}
+
 func (h *host) free() worker.Resources { return h.report.Capacity.Minus(h.used) }
 
 // usable reports whether a task may be placed on the host now.
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -260,6 +260,11 @@
 	if report.Draining && !h.report.Draining && ok {
 		p.events.Event("host-draining", "host", report.ID, "pool", p.name, "runs", len(h.runs), "remaining", report.RemainingTime)
 	}
+	if report.Draining {
+		h.drained = report.Incarnation
+	} else if report.Incarnation == h.drained {
+		h.drained = 0
+	}
 	if report.Address != h.report.Address {
 		h.confirmed = false
 	}
