A worker that is back under its ID has the room that it reports now

Callers would see: nothing yet; found by review, by reading. A worker that doesn't check its capacity is started over it when its new incarnation has less room than the former one. Cause: an owner learns of the new incarnation from the worker's answer, often before its report. Until then the capacity is that of the former one; the wait for the next report applies only after a silence that is longer than a report interval. The class: a value is used without asking whether its source could have changed it since. Change: in pools whose workers don't check, nothing is placed or sent by a report of an earlier incarnation than that which answers. Evidence and test: TestNoStartByTheReportOfAFormerIncarnation failed before: two tasks were started on a host with room for one. Why it works: a report says from which incarnation it is.

--- a/internal/coordination/schedule/capacity.go
+++ b/internal/coordination/schedule/capacity.go
@@ -15,7 +15,13 @@
 	if p.checksCapacity {
 		return true
 	}
-	return !now.Before(h.settledAt) && (p.reports == nil || p.reports.Current(now))
+	return !h.reportOutdated() && !now.Before(h.settledAt) && (p.reports == nil || p.reports.Current(now))
+}
+
+// reportOutdated reports whether the host's report is that of an earlier incarnation, whose
+// capacity may have been another.
+func (h *host) reportOutdated() bool {
+	return h.report.Incarnation != 0 && h.report.Incarnation < h.incarnation
 }
 
 // settle delays starts on a host that answers after it was unresponsive, if it may have been
--- a/internal/coordination/schedule/capacity_test.go
+++ b/internal/coordination/schedule/capacity_test.go
@@ -234,3 +234,23 @@
 		h.wantStarts(starts, idA+".0.0.0")
 	}
 }
+
+// TestNoStartByTheReportOfAFormerIncarnation: a worker that is back under its ID may have less
+// room than it had.
+func TestNoStartByTheReportOfAFormerIncarnation(t *testing.T) {
+	h := newHarness(t)
+	h.pool.SetChecksCapacity(false)
+	former := report("h1")
+	former.Incarnation = 1
+	h.pool.SetHosts([]worker.Report{former}, h.now)
+	h.renew("h1", 1)
+	h.renew("h1", 2)
+	h.add(idA, testStep(2, 8000))
+	starts, _ := h.plan()
+	h.wantStarts(starts)
+	present := former
+	present.Incarnation, present.Capacity.CPU = 2, 8000
+	h.pool.SetHosts([]worker.Report{present}, h.now)
+	starts, _ = h.plan()
+	h.wantStarts(starts, idA+".0.0.0")
+}
