The crash of a worker that was cut off before is weak evidence against its tasks

Callers would see: a sound job shown as failed under whose task no worker has crashed, once two workers were cut off just after they had started the task and crashed later (LOST). Found by review, and shown in the emulator. Cause: how long a host has borne a run is known up to its last answer. A run that was started just before the host was cut off counts as just starting for as long as the host is silent, though it may have ended there before the crash. Alone on its host it was strong evidence. The class: the time of the last news is taken for the time of the crash. Evidence: the channels of a crashed worker break at once (host-silent came 8 to 29 ms after the start in the crashes traced), while a worker that is cut off is found silent by a renewal that runs out of its time, 0.7 s after it was sent at the earliest. Change: RenewalFailed takes the time. If a host was found silent half a second or more after its last answer, its crash is weak evidence and counts for the bound of four crashes only. Test: TestCrashOfACutOffWorkerIsBlamed failed before: the job was failed and the ledger counted it as lost. The calls of RenewalFailed in other tests give the time, nothing else is changed. Why it works: only a crash that came with the silence came while the run was starting. Remaining: four such crashes still fail the job; a task that crashes hosts which then are silent rather than broken is given up after four crashes instead of two.

--- a/internal/coordination/schedule/crash.go
+++ b/internal/coordination/schedule/crash.go
@@ -12,6 +12,8 @@
 	// soundRunTime is how long a run must have worked for a crash of its host not to count
 	// against its task, and for the earlier ones to be forgotten.
 	soundRunTime = 2 * time.Second
+	// silenceOfACutOff is less than the time after which a lease renewal without an answer fails.
+	silenceOfACutOff = 500 * time.Millisecond
 	// blamedCrashes is the number of crashes after which a task is given up if no other job
 	// can be the cause of the last one, likelyCrashes if every other job in question had
 	// nothing to do with an earlier one, and maxCrashes the number after which it is given up
@@ -114,14 +116,14 @@
 
 // countCrash counts the crash of a host against a run. The crash is weak evidence if the host
 // may not have begun the run, or has or may have borne it for a while, as one that an earlier
-// owner started.
+// owner started, or one that may have ended on a host that was cut off before it crashed.
 func (p *Pool) countCrash(r *run) {
 	s := r.task.step
 	if !s.job.MarkCrashed(s.occurrence, s.number, r.task.index, r.number) {
 		return
 	}
 	p.markDirty(s.job)
-	if r.startedAt.IsZero() || r.unconfirmed || r.adopted || r.workedFor() >= startupTime {
+	if r.startedAt.IsZero() || r.unconfirmed || r.adopted || r.host.wasCutOff() || r.workedFor() >= startupTime {
 		r.task.weakCrashes++
 	}
 	p.suspects[r.task] = struct{}{}
--- a/internal/coordination/schedule/crash_test.go
+++ b/internal/coordination/schedule/crash_test.go
@@ -13,7 +13,7 @@
 
 // crash ends a host's worker as a crash does.
 func (h *harness) crash(id worker.ID) {
-	h.pool.RenewalFailed(id, errNoAnswer)
+	h.pool.RenewalFailed(id, h.now, errNoAnswer)
 	h.pool.WorkerEnded(id, h.now)
 }
 
@@ -245,7 +245,7 @@
 		life := report("h1")
 		life.Incarnation, life.Draining = 1+n, true
 		h.pool.SetHosts([]worker.Report{life}, h.now)
-		h.pool.RenewalFailed("h1", errNoAnswer)
+		h.pool.RenewalFailed("h1", h.now, errNoAnswer)
 		life.Incarnation, life.Draining = 2+n, false
 		h.pool.SetHosts([]worker.Report{life}, h.now)
 		h.renew("h1", 2+n)
--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -44,7 +44,7 @@
 }
 
 // RenewalFailed marks a host as unresponsive after a lease renewal without an answer.
-func (p *Pool) RenewalFailed(id worker.ID, cause error) {
+func (p *Pool) RenewalFailed(id worker.ID, now time.Time, cause error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h, ok := p.hosts[id]
@@ -53,6 +53,7 @@
 	}
 	if h.confirmed {
 		p.events.Event("host-silent", "host", id, "pool", p.name, "runs", len(h.runs), "heard", h.heardAt, "error", cause)
+		h.silentAt = now
 	}
 	h.confirmed = false
 	h.failedContact = h.failedContact || h.contactedAt.IsZero()
--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -26,6 +26,8 @@
 	clock   time.Duration
 	clockAt time.Time
 	heardAt time.Time
+	// silentAt is when the worker was last found unresponsive.
+	silentAt time.Time
 	// knownAt is when the host first became known: from its report, or, for one that an
 	// earlier owner recorded, the start of the tenure.
 	knownAt time.Time
@@ -80,6 +82,10 @@
 	return h.report.Draining || h.leaving || (h.drained != 0 && h.drained == h.incarnation)
 }
 
+// wasCutOff reports whether the worker was first silent, for so long that a call timed out. When
+// it crashes, its connections break at once.
+func (h *host) wasCutOff() bool { return !h.confirmed && h.silentAt.Sub(h.heardAt) >= silenceOfACutOff }
+
 func (h *host) free() worker.Resources { return h.report.Capacity.Minus(h.used) }
 
 // usable reports whether a task may be placed on the host now.
--- a/internal/coordination/schedule/stop_test.go
+++ b/internal/coordination/schedule/stop_test.go
@@ -25,7 +25,7 @@
 func TestQueuedStopIsNotSentOnceItsStepAllowsNoFurtherAbsence(t *testing.T) {
 	h := newHarness(t, "h1", "h2", "h3")
 	move, other := queuedMove(h)
-	h.pool.RenewalFailed(other.Target.ID, errNoAnswer)
+	h.pool.RenewalFailed(other.Target.ID, h.now, errNoAnswer)
 	if h.pool.BeginStop(move.Target.ID, move.Order, h.now) {
 		t.Error("a task at work was stopped while the other task of its step was away")
 	}
--- a/internal/emulator/site/crashes_test.go
+++ b/internal/emulator/site/crashes_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
 
 // TestDeadlyTaskIsStartedWithoutEnd: a task crashes each worker that starts it.
@@ -48,6 +49,74 @@
 	})
 }
 
+// TestCrashOfACutOffWorkerIsBlamed: a task has ended on a worker that is cut off, before that
+// crashes.
+func TestCrashOfACutOffWorkerIsBlamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		id := f.submit("tiles", []job.Step{newStep(1, 1000, 300*time.Millisecond)}, func(_ *job.Job, actual []taskBehaviour) {
+			actual[0].failShare = 0
+		})
+		for range blamedCrashes {
+			w := f.awaitRun(worker.TaskName{Job: string(id)})
+			f.site.cutOff(w)
+			time.Sleep(time.Second)
+			f.site.crash(w)
+		}
+		time.Sleep(20 * time.Second)
+		if state := f.site.JobState("tiles", id); state != job.Done {
+			t.Errorf("the job is %q; want %s", state, job.Done)
+		}
+		f.finish()
+	})
+}
+
+// blamedCrashes is the number of crashes that are enough to give up a task.
+const blamedCrashes = 2
+
+// awaitRun waits for a run of a task and returns its worker soon after the start.
+func (f *fixture) awaitRun(task worker.TaskName) *Worker {
+	f.t.Helper()
+	for range 10000 {
+		time.Sleep(5 * time.Millisecond)
+		for _, w := range f.site.workersUp() {
+			if w.runsTask(task) {
+				time.Sleep(5 * time.Millisecond)
+				return w
+			}
+		}
+	}
+	f.t.Fatalf("%s is not started", task)
+	return nil
+}
+
+func (s *Site) workersUp() []*Worker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var workers []*Worker
+	for _, m := range s.liveMachines() {
+		workers = append(workers, m.worker)
+	}
+	return workers
+}
+
+func (s *Site) cutOff(w *Worker) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.isolated = true
+}
+
+func (w *Worker) runsTask(task worker.TaskName) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for key := range w.runs {
+		if key.task == task {
+			return true
+		}
+	}
+	return false
+}
+
 // TestRandomWithDeadlyTasks: deadly tasks are started without end beside faults of all kinds.
 func TestRandomWithDeadlyTasks(t *testing.T) {
 	for n := range *seeds {
