--- a/internal/coordination/schedule/crash_test.go
+++ b/internal/coordination/schedule/crash_test.go
@@ -13,7 +13,7 @@
 
 // crash ends a host's worker as a crash does.
 func (h *harness) crash(id worker.ID) {
-	h.pool.RenewalFailed(id, errNoAnswer)
+	h.pool.RenewalFailed(id, h.now, errNoAnswer)
 	h.pool.WorkerEnded(id, h.now)
 }
 
@@ -140,23 +140,30 @@
 	h.wantState(idA, job.Failed)
 }
 
-// TestCrashesAreForgottenWithTheOwner: an owner counts the crashes before its tenure.
-func TestCrashesAreForgottenWithTheOwner(t *testing.T) {
-	definition := &job.Job{ID: idA, Queue: "tiles", Pool: "maps", Steps: []job.Step{testStep(1, 1000)}, MaxAttempts: 2, AcceptedAt: epoch}
+// inheritCrashed adds a job from the record of an earlier owner, with crashes under its task.
+func (h *harness) inheritCrashed(id job.ID, crashes int64, placed ...jobs.Placement) {
+	h.Helper()
+	definition := &job.Job{ID: id, Queue: "tiles", Pool: "maps", Steps: []job.Step{testStep(1, 1000)}, MaxAttempts: 2, AcceptedAt: epoch}
 	before := jobs.New(definition)
-	for run := range int64(maxCrashes - 1) {
+	before.Placements = placed
+	for run := range crashes {
 		before.MarkCrashed(0, 0, 0, run)
 	}
 	data, err := before.MarshalProgress()
 	if err != nil {
-		t.Fatal(err)
+		h.Fatal(err)
 	}
 	inherited := jobs.New(definition)
 	if err := inherited.ApplyProgress(data); err != nil {
-		t.Fatal(err)
+		h.Fatal(err)
 	}
-	h := newHarness(t, "h2")
 	h.pool.AddJob(inherited)
+}
+
+// TestCrashesAreForgottenWithTheOwner: an owner counts the crashes before its tenure.
+func TestCrashesAreForgottenWithTheOwner(t *testing.T) {
+	h := newHarness(t, "h2")
+	h.inheritCrashed(idA, maxCrashes-1)
 	starts, _ := h.plan()
 	h.wantStarts(starts, idA+".0.0.0")
 	h.accept(starts...)
@@ -164,6 +171,19 @@
 	h.wantState(idA, job.Failed)
 }
 
+// TestInheritedRunClearsItsCrashes: that a host lists an inherited run does not mean that it has
+// survived the run for long.
+func TestInheritedRunClearsItsCrashes(t *testing.T) {
+	h := newHarness(t)
+	run := worker.ActiveRun{Task: worker.TaskName{Job: idA}, Run: 100, Percent: 100, Usage: 1}
+	h.inheritCrashed(idA, maxCrashes-1, jobs.Placement{Task: run.Task, Run: run.Run, Host: "h1"})
+	h.list("h1")
+	h.renewRunning("h1", 1, []worker.ActiveRun{run})
+	h.plan()
+	h.crash("h1")
+	h.wantState(idA, job.Failed)
+}
+
 // TestOrderedEndIsBlamed: a host that was draining or cordoned has not crashed.
 func TestOrderedEndIsBlamed(t *testing.T) {
 	h := newHarness(t, "h1", "h2")
@@ -199,3 +219,39 @@
 	}
 	h.wantState(idA, job.Running)
 }
+
+// TestAdoptedRunIsBlamedAsIfJustStarted: a run of an earlier owner may have worked for long when
+// this owner first sees it.
+func TestAdoptedRunIsBlamedAsIfJustStarted(t *testing.T) {
+	h := newHarness(t, "h1")
+	h.add(idA, testStep(1, 1000))
+	for n := range blamedCrashes {
+		adopted := worker.ActiveRun{Task: worker.TaskName{Job: idA}, Run: int64(100 + n), Percent: 100, Usage: 1}
+		h.renewRunning("h1", worker.Incarnation(1+n), []worker.ActiveRun{adopted})
+		h.crash("h1")
+	}
+	h.wantState(idA, job.Running)
+}
+
+// TestRestartAfterDrainIsBlamed: a worker that has drained may be back under its ID, and have
+// reported, before it answers.
+func TestRestartAfterDrainIsBlamed(t *testing.T) {
+	h := newHarness(t, "h1")
+	h.add(idA, testStep(1, 1000))
+	for n := range worker.Incarnation(blamedCrashes) {
+		starts, _ := h.plan()
+		h.wantStarts(starts, idA+".0.0.0")
+		h.accept(starts...)
+		life := report("h1")
+		life.Incarnation, life.Draining = 1+n, true
+		h.pool.SetHosts([]worker.Report{life}, h.now)
+		h.pool.RenewalFailed("h1", h.now, errNoAnswer)
+		life.Incarnation, life.Draining = 2+n, false
+		h.pool.SetHosts([]worker.Report{life}, h.now)
+		h.renew("h1", 2+n)
+	}
+	h.wantState(idA, job.Running)
+	if n := len(h.pool.suspects); n != 0 {
+		t.Errorf("%d tasks are suspected; want none", n)
+	}
+}
--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -11,6 +11,9 @@
 	report worker.Report
 	// listed is set while the live list has the host.
 	listed bool
+	// drained is the incarnation that has said that it drains, or 0. It says so no more once the
+	// next one has reported.
+	drained worker.Incarnation
 	// confirmed is set while the worker answers and its incarnation is known; nothing
 	// is started on the host otherwise.
 	confirmed   bool
@@ -23,6 +26,8 @@
 	clock   time.Duration
 	clockAt time.Time
 	heardAt time.Time
+	// silentAt is when the worker was last found unresponsive.
+	silentAt time.Time
 	// knownAt is when the host first became known: from its report, or, for one that an
 	// earlier owner recorded, the start of the tenure.
 	knownAt time.Time
@@ -71,6 +76,16 @@
 	return &host{report: report, knownAt: knownAt, runs: map[runKey]*run{}, unknownRuns: map[runKey]time.Time{}}
 }
 
+// wasToldToLeave reports whether the present incarnation ends by intent: it drains, or was
+// vacated to be ordered away.
+func (h *host) wasToldToLeave() bool {
+	return h.report.Draining || h.leaving || (h.drained != 0 && h.drained == h.incarnation)
+}
+
+// wasCutOff reports whether the worker was first silent, for so long that a call timed out. When
+// it crashes, its connections break at once.
+func (h *host) wasCutOff() bool { return !h.confirmed && h.silentAt.Sub(h.heardAt) >= silenceOfACutOff }
+
 func (h *host) free() worker.Resources { return h.report.Capacity.Minus(h.used) }
 
 // usable reports whether a task may be placed on the host now.
