A stop that the tenure did not allow is ordered again

What callers would see: a task of a cancelled submission, or one that hangs or is to leave its host, runs on for good (UNASKED), and its room is taken (LOST).

If its turn came while the log had not confirmed the tenure for 6 s, the stop was given up before the mark was taken back. The tenure goes on once the log answers again; the run is renewed and never stopped. The class of fault: a resource whose only way back is one that a state of its owner skips.

Change: a stop that is not sent is taken back (StopNotSent). The next plan orders it again.

TestStopDroppedWhileUnconfirmedIsOrderedAgain failed before with no further stop.

--- a/internal/coordination/schedule/stop.go
+++ b/internal/coordination/schedule/stop.go
@@ -38,6 +38,20 @@
 	return true
 }
 
+// StopNotSent takes back a stop that was not sent because the tenure did not allow it, so that it
+// is ordered again.
+func (p *Pool) StopNotSent(id worker.ID, order worker.StopOrder) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h, ok := p.hosts[id]
+	if !ok {
+		return
+	}
+	if r, ok := h.runs[runKey{order.Task, order.Run}]; ok {
+		r.stopQueued = false
+	}
+}
+
 // mustStay reports whether the move of a long-running task would now leave its step with too
 // few tasks available.
 func (p *Pool) mustStay(r *run, now time.Time) bool {
--- a/internal/jobhost/pool_runner.go
+++ b/internal/jobhost/pool_runner.go
@@ -215,7 +215,11 @@
 func (r *poolRunner) stop(ctx context.Context, stop schedule.Stop) {
 	// What the stop rests on may have changed while it waited for its turn.
 	now := r.host.now()
-	if !r.host.mayAct(now) || !r.pool.BeginStop(stop.Target.ID, stop.Order, now) {
+	if !r.host.mayAct(now) {
+		r.pool.StopNotSent(stop.Target.ID, stop.Order)
+		return
+	}
+	if !r.pool.BeginStop(stop.Target.ID, stop.Order, now) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
