A throttle that the tenure did not allow is ordered again

Cause: a run is not throttled again while the speed that its host lists differs from the one last ordered. An order whose turn came while the log had not confirmed the tenure for 6 s was given up without a word, so that they differ for good once the log answers again. The class of fault: a resource whose only way back is one that a state of its owner skips.

Change: such an order counts as one without an answer.

TestThrottleDroppedWhileUnconfirmedIsOrderedAgain failed before with no further throttle.

--- a/internal/jobhost/pool_runner.go
+++ b/internal/jobhost/pool_runner.go
@@ -233,6 +233,7 @@
 
 func (r *poolRunner) throttle(ctx context.Context, throttle schedule.Throttle) {
 	if !r.host.mayAct(r.host.now()) {
+		r.pool.ApplyThrottle(throttle.Target.ID, throttle.Order, errTenureOver)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
--- a/internal/jobhost/pool_runner_test.go
+++ b/internal/jobhost/pool_runner_test.go
@@ -47,10 +47,14 @@
 	r.runner.pool.ApplyRenewal(testHost, sent, r.now, worker.RenewalReply{Clock: r.now.Sub(time.Time{}), Incarnation: 1, Running: running})
 }
 
+func (r *runnerTest) add(step job.Step) {
+	r.runner.pool.AddJob(jobs.New(&job.Job{ID: testJob, Pool: "maps", Steps: []job.Step{step}, AcceptedAt: r.now, MaxAttempts: 2, Stretch: 1.6}))
+}
+
 // start has the host run all tasks of a step.
 func (r *runnerTest) start(step job.Step) []worker.ActiveRun {
 	r.Helper()
-	r.runner.pool.AddJob(jobs.New(&job.Job{ID: testJob, Pool: "maps", Steps: []job.Step{step}, AcceptedAt: r.now, MaxAttempts: 2, Stretch: 1.6}))
+	r.add(step)
 	r.runner.pool.Plan(r.now)
 	changes, err := r.runner.pool.TakeUnrecorded()
 	if err != nil {
@@ -89,3 +93,25 @@
 		t.Errorf("%d stops after the first was not sent; want 1", len(orders.Stops))
 	}
 }
+
+// TestThrottleDroppedWhileUnconfirmedIsOrderedAgain guards against best-effort runs whose speed is
+// never changed again: their throttle had its turn while the log did not confirm the tenure.
+func TestThrottleDroppedWhileUnconfirmedIsOrderedAgain(t *testing.T) {
+	r := newRunnerTest(t)
+	r.add(job.Step{Tasks: 1, Needs: worker.Resources{CPU: 1000, MemoryMB: 100}, BestEffort: true})
+	// An earlier owner has throttled the run beside a serving task that has left.
+	running := []worker.ActiveRun{{Task: worker.TaskName{Job: testJob}, Run: 1, Percent: 0, Usage: 1}}
+	r.list(running...)
+	orders := r.runner.pool.Plan(r.now)
+	if len(orders.Throttles) != 1 {
+		t.Fatalf("%d throttles of a run that stands still; want 1", len(orders.Throttles))
+	}
+	r.now = r.now.Add(7 * time.Second)
+	r.runner.throttle(t.Context(), orders.Throttles[0])
+	// The tenure is confirmed again, and the host still has the run.
+	r.list(running...)
+	r.now = r.now.Add(3 * time.Second)
+	if orders := r.runner.pool.Plan(r.now); len(orders.Throttles) != 1 {
+		t.Errorf("%d throttles after the first was not sent; want 1", len(orders.Throttles))
+	}
+}
