A throttle that takes effect late is noticed

Cause: a throttle without an answer is forgotten, but its host may carry it out seconds later, also after a newer one. The list then shows a speed that was not the last one ordered, and a run is not throttled while the two differ. The class of fault: an order that stays valid long after its sender has stopped to count on it.

Change: an order that waits or is unanswered is marked as such. From a second after it was answered or given up, the speed that the host lists counts, whichever order it is from.

--- a/internal/coordination/schedule/pace.go
+++ b/internal/coordination/schedule/pace.go
@@ -13,11 +13,14 @@
 	// unthrottleStep is how much they are sped up at a time, in per cent of full speed.
 	// Throttling halves the speed at once, and sets it to zero when the target is missed.
 	unthrottleStep = 20
+	// throttleSettle is how long after a throttle order the host may list the speed from before
+	// it. A different speed after that is from an earlier order that took effect late.
+	throttleSettle = time.Second
 )
 
 // throttle orders a lower speed for best-effort runs on hosts where serving tasks come
 // near their tail target, and a higher one where latency is low again.
-func (p *Pool) throttle(_ time.Time, orders *Orders) {
+func (p *Pool) throttle(now time.Time, orders *Orders) {
 	for id, h := range p.hosts {
 		if !h.confirmed {
 			continue
@@ -27,14 +30,14 @@
 			load = 0
 		}
 		for _, r := range h.runs {
-			if !r.task.step.def.BestEffort || r.state != stateRunning || r.speed != r.speedSent {
+			if !r.task.step.def.BestEffort || r.state != stateRunning || r.throttleUnsettled(now) {
 				continue
 			}
 			speed := throttledSpeed(r.speed, load)
 			if speed == r.speed {
 				continue
 			}
-			r.speedSent = speed
+			r.speedSent, r.throttling = speed, true
 			p.events.Event("run-paced", "task", r.name, "run", r.number, "host", id, "percent", speed, "tail-load", load)
 			orders.Throttles = append(orders.Throttles, Throttle{
 				worker.Target{ID: id, Address: h.report.Address},
@@ -44,6 +47,11 @@
 	}
 }
 
+// throttleUnsettled reports whether the listed speed may not show the last throttle order yet.
+func (r *run) throttleUnsettled(now time.Time) bool {
+	return r.throttling || (r.speed != r.speedSent && now.Sub(r.throttledAt) < throttleSettle)
+}
+
 // tailLoad returns the highest ratio of tail latency to target on a host, and whether
 // any serving task runs there.
 func (h *host) tailLoad() (load float64, serves bool) {
@@ -72,8 +80,8 @@
 	}
 }
 
-// ApplyThrottle applies the answer to a throttle order.
-func (p *Pool) ApplyThrottle(id worker.ID, order worker.ThrottleOrder, err error) {
+// ApplyThrottle applies the answer to a throttle order. With err set, it got none or was not sent.
+func (p *Pool) ApplyThrottle(id worker.ID, order worker.ThrottleOrder, now time.Time, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h, ok := p.hosts[id]
@@ -84,6 +92,7 @@
 	if !ok {
 		return
 	}
+	r.throttling, r.throttledAt = false, now
 	if err != nil {
 		r.speedSent = r.speed
 		return
--- a/internal/coordination/schedule/task.go
+++ b/internal/coordination/schedule/task.go
@@ -112,8 +112,12 @@
 	speed int
 	// usage is the host's last measurement: tail latency or CPU usage, see worker.ActiveRun.
 	usage int64
-	// speedSent is the speed last ordered; it differs from speed while an order is unanswered.
-	speedSent int
+	// speedSent is the speed last ordered. The host may list another one while throttling is set,
+	// since the order waits or is unanswered, and until throttleSettle after throttledAt, when it
+	// was answered or given up.
+	speedSent   int
+	throttling  bool
+	throttledAt time.Time
 	// idleSince is when the run stopped using processor time; zero while it uses some.
 	idleSince time.Time
 }
--- a/internal/jobhost/pool_runner.go
+++ b/internal/jobhost/pool_runner.go
@@ -232,13 +232,14 @@
 }
 
 func (r *poolRunner) throttle(ctx context.Context, throttle schedule.Throttle) {
-	if !r.host.mayAct(r.host.now()) {
-		r.pool.ApplyThrottle(throttle.Target.ID, throttle.Order, errTenureOver)
+	if now := r.host.now(); !r.host.mayAct(now) {
+		r.pool.ApplyThrottle(throttle.Target.ID, throttle.Order, now, errTenureOver)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
-	r.pool.ApplyThrottle(throttle.Target.ID, throttle.Order, r.host.platform.Workers.Throttle(ctx, throttle.Target, throttle.Order))
+	err := r.host.platform.Workers.Throttle(ctx, throttle.Target, throttle.Order)
+	r.pool.ApplyThrottle(throttle.Target.ID, throttle.Order, r.host.now(), err)
 }
 
 func (r *poolRunner) checkPlacement(ctx context.Context, query schedule.PlacementQuery) {
