Nothing waiting is sent once the log has a later owner

The tenure was then to be replaced, which waits for a renewal of the membership under way, up to 0.9 s; until then its pools went on to plan stops and to send the starts and stops that waited. The class of fault: a decision carried out from a queue after what it rests on has changed.

Change: the fence of a partition fences all of its pools, whoever saw the later owner.

TestQueuedStartIsNotSentOnceTheLogHasALaterOwner failed before.

--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -118,6 +118,13 @@
 // workers' contract. A reply with that many may be incomplete.
 const maxEndsPerReply = 500
 
+// Fence makes the pool order nothing more, because a later owner was seen elsewhere.
+func (p *Pool) Fence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fenced = true
+}
+
 func (p *Pool) setFenced(id worker.ID) {
 	if !p.fenced {
 		p.events.Event("pool-fenced", "pool", p.name, "host", id, "fence", int64(p.token))
--- a/internal/jobhost/partition.go
+++ b/internal/jobhost/partition.go
@@ -74,11 +74,16 @@
 	return p
 }
 
-// onFenced requests a new tenure, once, because a later owner of the partition was seen.
+// onFenced requests a new tenure, once, because a later owner of the partition was seen. Until
+// this one has ended, its pools order nothing: the later owner may have recorded what they
+// don't know.
 func (p *partition) onFenced() {
 	if p.fencedOnce.Swap(true) {
 		return
 	}
+	for _, r := range p.runners() {
+		r.pool.Fence()
+	}
 	p.host.reacquire(p)
 }
 
--- a/internal/jobhost/pool_runner_test.go
+++ b/internal/jobhost/pool_runner_test.go
@@ -51,8 +51,8 @@
 	r.runner.pool.AddJob(jobs.New(&job.Job{ID: testJob, Pool: "maps", Steps: []job.Step{step}, AcceptedAt: r.now, MaxAttempts: 2, Stretch: 1.6}))
 }
 
-// start has the host run all tasks of a step.
-func (r *runnerTest) start(step job.Step) []worker.ActiveRun {
+// place returns the starts of all tasks of a step, which wait for their turn.
+func (r *runnerTest) place(step job.Step) []schedule.Start {
 	r.Helper()
 	r.add(step)
 	r.runner.pool.Plan(r.now)
@@ -60,8 +60,14 @@
 	if err != nil {
 		r.Fatal(err)
 	}
+	return r.runner.pool.Recorded(changes, r.now)
+}
+
+// start has the host run all tasks of a step.
+func (r *runnerTest) start(step job.Step) []worker.ActiveRun {
+	r.Helper()
 	var running []worker.ActiveRun
-	for _, s := range r.runner.pool.Recorded(changes, r.now) {
+	for _, s := range r.place(step) {
 		order, ok := r.runner.pool.BeginStart(s.Target.ID, s.Order, r.now)
 		if !ok {
 			r.Fatalf("%s was not started", s.Order.Task)
@@ -115,3 +121,17 @@
 		t.Errorf("%d throttles after the first was not sent; want 1", len(orders.Throttles))
 	}
 }
+
+// TestQueuedStartIsNotSentOnceTheLogHasALaterOwner guards against a start of what a later owner has
+// recorded as done meanwhile: the log refuses the records of this one.
+func TestQueuedStartIsNotSentOnceTheLogHasALaterOwner(t *testing.T) {
+	r := newRunnerTest(t)
+	starts := r.place(job.Step{Tasks: 1, Needs: worker.Resources{CPU: 1000, MemoryMB: 100}})
+	p := &partition{host: r.runner.host, pools: map[string]*poolRunner{"maps": r.runner}}
+	p.onFenced()
+	for _, s := range starts {
+		if _, ok := r.runner.pool.BeginStart(s.Target.ID, s.Order, r.now); ok {
+			t.Errorf("%s was started", s.Order.Task)
+		}
+	}
+}
