Answers of a worker's earlier incarnation are ignored

What callers could see: all runs of a restarted worker started again elsewhere while they go on (TWICE), or a host whose ends are never noted until the tenure ends (LOST).

Cause: an earlier list by the same incarnation is told by its clock, but a list of an earlier incarnation was taken for one of a new one, which released all runs. The answer to a start set the clock of the host to that of the earlier incarnation, which is ahead, and all later lists then looked like earlier ones. The class of fault: a decision carried out after what it rests on has changed.

Change: the answer to a request from before the present incarnation was known counts only if it is from that incarnation.

TestLateListOfAnEarlierIncarnationIsIgnored and TestLateAnswerOfAnEarlierIncarnationDoesNotSetTheClock failed before.

--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -76,6 +76,10 @@
 		return
 	}
 	if h.incarnation != reply.Incarnation {
+		if sent.Before(h.incarnationAt) {
+			// The answer is from an earlier incarnation. If it is from a later one, so is the next.
+			return
+		}
 		p.newIncarnation(h, reply.Incarnation, now)
 	}
 	if !h.confirmed {
@@ -142,7 +146,7 @@
 	if known {
 		p.hostCrashed(h, now)
 	}
-	h.incarnation = incarnation
+	h.incarnation, h.incarnationAt = incarnation, now
 	h.clock, h.clockAt, h.leaseSent = 0, now, 0
 	h.received, h.acknowledged = 0, 0
 	h.health = health{}
--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -15,6 +15,8 @@
 	// is started on the host otherwise.
 	confirmed   bool
 	incarnation worker.Incarnation
+	// incarnationAt is when the incarnation became known.
+	incarnationAt time.Time
 	// contactedAt is when the worker first answered this owner, zero before.
 	contactedAt time.Time
 	// failedContact is set once a renewal got no answer before the worker first answered.
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -226,7 +226,7 @@
 		}
 		return
 	}
-	if err == nil {
+	if err == nil && !r.sentAt.Before(h.incarnationAt) {
 		h.updateClock(now, reply.Clock)
 	}
 	if err == nil && reply.Refusal == worker.Accepted {
