--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -77,6 +77,10 @@
 		return
 	}
 	if h.incarnation != reply.Incarnation {
+		if sent.Before(h.incarnationAt) {
+			// The answer is from an earlier incarnation. If it is from a later one, so is the next.
+			return
+		}
 		p.newIncarnation(h, reply.Incarnation, now)
 	}
 	if !h.confirmed {
@@ -119,6 +123,13 @@
 // workers' contract. A reply with that many may be incomplete.
 const maxEndsPerReply = 500
 
+// Fence makes the pool order nothing more, because a later owner was seen elsewhere.
+func (p *Pool) Fence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fenced = true
+}
+
 func (p *Pool) setFenced(id worker.ID) {
 	if !p.fenced {
 		p.events.Event("pool-fenced", "pool", p.name, "host", id, "fence", int64(p.token))
@@ -136,7 +147,7 @@
 	if known {
 		p.hostCrashed(h, now)
 	}
-	h.incarnation = incarnation
+	h.incarnation, h.incarnationAt = incarnation, now
 	h.clock, h.clockAt, h.leaseSent = 0, now, 0
 	h.received, h.acknowledged = 0, 0
 	h.health = health{}
--- a/internal/jobhost/pool_runner.go
+++ b/internal/jobhost/pool_runner.go
@@ -215,7 +215,11 @@
 func (r *poolRunner) stop(ctx context.Context, stop schedule.Stop) {
 	// What the stop rests on may have changed while it waited for its turn.
 	now := r.host.now()
-	if !r.host.mayAct(now) || !r.pool.BeginStop(stop.Target.ID, stop.Order, now) {
+	if !r.host.mayAct(now) {
+		r.pool.StopNotSent(stop.Target.ID, stop.Order)
+		return
+	}
+	if !r.pool.BeginStop(stop.Target.ID, stop.Order, now) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
@@ -228,12 +232,14 @@
 }
 
 func (r *poolRunner) throttle(ctx context.Context, throttle schedule.Throttle) {
-	if !r.host.mayAct(r.host.now()) {
+	if now := r.host.now(); !r.host.mayAct(now) {
+		r.pool.ApplyThrottle(throttle.Target.ID, throttle.Order, now, errTenureOver)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
-	r.pool.ApplyThrottle(throttle.Target.ID, throttle.Order, r.host.platform.Workers.Throttle(ctx, throttle.Target, throttle.Order))
+	err := r.host.platform.Workers.Throttle(ctx, throttle.Target, throttle.Order)
+	r.pool.ApplyThrottle(throttle.Target.ID, throttle.Order, r.host.now(), err)
 }
 
 func (r *poolRunner) checkPlacement(ctx context.Context, query schedule.PlacementQuery) {
