Cordon workers that their pool does not know before maintenance

Callers saw: submissions shown as failed under which fewer than two workers had crashed, and a maintenance, or the stops of a job that was given up, that ended long-running tasks of a step while as many of its others as it allows were away.

Cause: the planner took a machine whose worker the pool's load did not list for vacant, since nothing runs there, and ordered its maintenance at once. The load was up to one plan old: the pool's owner learned of the worker before the order arrived, had no cordon for it, and placed tasks there, long-running ones and suspects among them, as the host was empty. The order ended them. The owner, which had not been told that the host would leave, then counted its end as a crash that the tasks had caused. Class: absence from a list was read as a promise about the future.

The ledger is right in all cases: a maintenance is no crash, and both stops and maintenance count for availability. No check is changed.

The new tests of the planner and of the pool failed before, but for TestUnknownHostStays, which guards the new entry.

Change: a due machine with a worker that its pool does not know is cordoned first. A pool keeps a cordon for a host that is not listed yet and says that it is vacant; the next plan orders the maintenance. A machine without a worker is maintained at once, as before.

Why it works: the pool's owner has the cordon before the order is decided, so that it places nothing there whenever the report comes. The cost is one interval between plans for each such machine. What remains: a change of the pool's owner between the cordon and the order, as for any host.

--- a/internal/coordination/capacity/plan_test.go
+++ b/internal/coordination/capacity/plan_test.go
@@ -167,6 +167,23 @@
 	wantActions(t, actions, "maintain maps-0")
 }
 
+// TestNewWorkerIsTakenDownInUse: a worker that its pool does not know yet may get tasks
+// before the order arrives.
+func TestNewWorkerIsTakenDownInUse(t *testing.T) {
+	v := newView(2, 2, 0)
+	v.Waves = []Wave{{
+		Wave: machine.Wave{Number: 1, Machines: []string{"maps-0", "maps-1"}, Duration: time.Minute, MaxDown: 1}, SeenAt: epoch, Started: map[string]bool{},
+	}}
+	v.setHostLoad("maps", "maps-0", schedule.HostLoad{Runs: 1, Use: schedule.UseShortTasks})
+	delete(v.Pools[0].Load.Hosts, "w-maps-1")
+	p := NewPlanner(options)
+	actions, _ := p.Plan(v)
+	wantActions(t, actions, "cordon maps-1")
+	v.setHostLoad("maps", "maps-1", schedule.HostLoad{Use: schedule.UseNone, Vacant: true})
+	actions, _ = p.Plan(v)
+	wantActions(t, actions, "maintain maps-1")
+}
+
 func TestMachinesOfFormerOwnerWait(t *testing.T) {
 	v := newView(2, 2, 1)
 	v.Pools[0].Load.Demand.CPU = 40000
--- a/internal/coordination/capacity/pool_plan.go
+++ b/internal/coordination/capacity/pool_plan.go
@@ -35,8 +35,9 @@
 	// blocked is set while no new order may be sent for the machine, leaving while an order
 	// of this owner is moving or maintaining it.
 	blocked, leaving bool
-	// known is set if the pool's load lists the machine's worker.
-	known bool
+	// known is set if the pool's load lists the machine's worker, isNew if the machine has a
+	// worker that the load does not list.
+	known, isNew bool
 }
 
 // planPools assigns the machines to their pools and computes each pool's need.
@@ -118,8 +119,9 @@
 	c.cordoned = h.Use == schedule.UseNone
 	c.known = ok
 	if !ok {
-		// The pool does not know the worker yet, so nothing runs there.
-		c.vacant = true
+		// Nothing runs there, but the pool may start tasks as soon as it knows the worker.
+		c.isNew = m.Worker != ""
+		c.vacant = !c.isNew
 	}
 	return c
 }
--- a/internal/coordination/capacity/waves.go
+++ b/internal/coordination/capacity/waves.go
@@ -52,7 +52,7 @@
 // compareDue orders due machines by how little their maintenance disrupts.
 func compareDue(a, b *candidate) int {
 	return cmp.Or(
-		cmp.Compare(boolToInt(!a.vacant), boolToInt(!b.vacant)),
+		cmp.Compare(boolToInt(!a.vacant && !a.isNew), boolToInt(!b.vacant && !b.isNew)),
 		cmp.Compare(boolToInt(!a.cordoned), boolToInt(!b.cordoned)),
 		cmp.Compare(a.longRunning, b.longRunning),
 		cmp.Compare(a.runs, b.runs),
@@ -89,6 +89,10 @@
 		case c.vacant, late && c.cordoned && c.longRunning == 0:
 			actions = append(actions, Action{Kind: Maintain, Machine: c.Name, Worker: c.Worker, Pool: c.Pool, Wave: w.Number, Reason: "wave"})
 			remaining--
+		case c.isNew:
+			// It is maintained as soon as the pool has confirmed the cordon.
+			actions = append(actions, Action{Kind: Cordon, Machine: c.Name, Worker: c.Worker, Pool: c.Pool, Wave: w.Number, Reason: "wave"})
+			remaining--
 		case !c.cordoned && draining < remaining && (late || surplus[c.Pool] > 0):
 			surplus[c.Pool]--
 			actions = append(actions, Action{Kind: Cordon, Machine: c.Name, Worker: c.Worker, Pool: c.Pool, Wave: w.Number, Reason: "wave"})
--- a/internal/coordination/schedule/cordon.go
+++ b/internal/coordination/schedule/cordon.go
@@ -25,13 +25,17 @@
 // String returns the name used in logs.
 func (u Use) String() string { return useNames[u] }
 
-// Restrict sets what hosts may be used for and reports whether the pool knows them all.
-func (p *Pool) Restrict(ids []worker.ID, use Use) bool {
+// Restrict sets what hosts may be used for and reports whether the pool knows them all. A cordon
+// also holds for a host that is not listed yet.
+func (p *Pool) Restrict(ids []worker.ID, use Use, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all := true
 	for _, id := range ids {
 		h, ok := p.hosts[id]
+		if !ok && use == UseNone {
+			h, ok = p.await(id, now), true
+		}
 		if !ok {
 			all = false
 			continue
@@ -45,10 +49,18 @@
 	return all
 }
 
-// vacant reports whether the host answers and nothing runs on it, unknown runs included, and
-// no room is kept.
+// await adds a host of which no report has come yet.
+func (p *Pool) await(id worker.ID, now time.Time) *host {
+	h := newHost(worker.Report{ID: id, Pool: p.name}, now)
+	h.awaited, h.expiry = true, later(p.inheritedExpiry, now.Add(p.limits.maxLeaseDuration()))
+	p.hosts[id] = h
+	return h
+}
+
+// vacant reports whether the host answers, or has yet to be listed, and nothing runs on it,
+// unknown runs included, and no room is kept.
 func (h *host) vacant() bool {
-	return len(h.runs) == 0 && len(h.unknownRuns) == 0 && len(h.reserved) == 0 && h.confirmed
+	return len(h.runs) == 0 && len(h.unknownRuns) == 0 && len(h.reserved) == 0 && (h.confirmed || h.awaited)
 }
 
 // cordoned reports whether nothing may be started on the host.
--- a/internal/coordination/schedule/cordon_test.go
+++ b/internal/coordination/schedule/cordon_test.go
@@ -42,7 +42,7 @@
 	h.add(idA, longRunning)
 	starts := h.startLongRunning("h1", "h2", "h3")
 	for _, s := range starts {
-		h.pool.Restrict([]worker.ID{s.Target.ID}, UseNone)
+		h.pool.Restrict([]worker.ID{s.Target.ID}, UseNone, h.now)
 	}
 	_, orders := h.plan()
 	if len(orders.Stops) != 1 {
@@ -59,7 +59,7 @@
 	longRunning.LongRunning, longRunning.MaxPerHost, longRunning.MaxUnavailable = true, 1, 1
 	h.add(idA, longRunning)
 	h.startLongRunning("h1", "h2")
-	h.pool.Restrict([]worker.ID{"h1", "h2"}, UseShortTasks)
+	h.pool.Restrict([]worker.ID{"h1", "h2"}, UseShortTasks, h.now)
 	if _, orders := h.plan(); len(orders.Stops) != 0 {
 		t.Errorf("%d tasks were stopped without another host to run on", len(orders.Stops))
 	}
@@ -88,7 +88,7 @@
 	h.accept(starts...)
 	h.advance(10 * time.Second)
 	h.renewRunning("h1", 1, []worker.ActiveRun{{Task: starts[0].Order.Task, Run: starts[0].Order.Run, Percent: 100}})
-	h.pool.Restrict([]worker.ID{"h1"}, UseNone)
+	h.pool.Restrict([]worker.ID{"h1"}, UseNone, h.now)
 	if _, orders := h.plan(); len(orders.Stops) != 0 {
 		t.Error("the task was stopped without another host to run on")
 	}
@@ -110,7 +110,7 @@
 	h.add(idA, longRunning)
 	starts := h.startLongRunning("h1", "h2", "h3", "h4")
 	for _, s := range starts {
-		h.pool.Restrict([]worker.ID{s.Target.ID}, UseShortTasks)
+		h.pool.Restrict([]worker.ID{s.Target.ID}, UseShortTasks, h.now)
 	}
 	_, orders := h.plan()
 	if len(orders.Stops) != 1 {
@@ -158,7 +158,7 @@
 	h.add(idA, longRunning)
 	starts := h.startLongRunning("h1", "h2", "h3")
 	for _, s := range starts {
-		h.pool.Restrict([]worker.ID{s.Target.ID}, UseNone)
+		h.pool.Restrict([]worker.ID{s.Target.ID}, UseNone, h.now)
 	}
 	_, orders := h.plan()
 	if len(orders.Stops) != 1 {
@@ -184,7 +184,7 @@
 	longRunning.LongRunning = true
 	h.add(idA, longRunning)
 	starts := h.startLongRunning("h1", "h2")
-	h.pool.Restrict([]worker.ID{starts[0].Target.ID}, UseNone)
+	h.pool.Restrict([]worker.ID{starts[0].Target.ID}, UseNone, h.now)
 	if _, orders := h.plan(); len(orders.Stops) != 1 {
 		t.Fatalf("%d stops; want 1", len(orders.Stops))
 	}
@@ -237,7 +237,7 @@
 	}
 	h.renewRunning("h1", 1, listed(0))
 	h.renewRunning("h2", 1, listed(1))
-	h.pool.Restrict([]worker.ID{"h1", "h2"}, UseShortTasks)
+	h.pool.Restrict([]worker.ID{"h1", "h2"}, UseShortTasks, h.now)
 	if _, orders := h.plan(); len(orders.Stops) != 0 {
 		t.Error("a task was stopped by the first list, which may show another one that is being stopped")
 	}
@@ -266,7 +266,7 @@
 			reports = append(reports, r)
 		}
 		for _, s := range starts {
-			h.pool.Restrict([]worker.ID{s.Target.ID}, UseNone)
+			h.pool.Restrict([]worker.ID{s.Target.ID}, UseNone, h.now)
 		}
 		h.pool.SetHosts(reports, h.now)
 		if _, orders := h.plan(); len(orders.Stops) != 2 {
@@ -274,3 +274,39 @@
 		}
 	}
 }
+
+// TestNewHostIsUsedDespiteItsCordon cordons a host that the pool learns of only later.
+func TestNewHostIsUsedDespiteItsCordon(t *testing.T) {
+	h := newHarness(t)
+	h.pool.Restrict([]worker.ID{"h1"}, UseNone, h.now)
+	h.list()
+	if !h.pool.Load(h.now).Hosts["h1"].Vacant {
+		t.Error("the host is not vacant before it is listed")
+	}
+	h.add(idA, testStep(1, 1000))
+	h.list("h1")
+	if h.pool.Load(h.now).Hosts["h1"].Vacant {
+		t.Error("the host is vacant before it has answered")
+	}
+	h.renew("h1", 1)
+	if starts, _ := h.plan(); len(starts) != 0 {
+		t.Errorf("starts %v on a cordoned host", taskNames(starts))
+	}
+	if !h.pool.Load(h.now).Hosts["h1"].Vacant {
+		t.Error("the host is not vacant though nothing runs there")
+	}
+	h.pool.Restrict([]worker.ID{"h1"}, UseAll, h.now)
+	starts, _ := h.plan()
+	h.wantStarts(starts, idA+".0.0.0")
+}
+
+// TestUnknownHostStays: a cordoned host that is never listed is forgotten in the end.
+func TestUnknownHostStays(t *testing.T) {
+	h := newHarness(t)
+	h.pool.Restrict([]worker.ID{"h1"}, UseNone, h.now)
+	h.advance(20 * time.Second)
+	h.list()
+	if n := len(h.pool.hosts); n != 0 {
+		t.Errorf("%d hosts are kept; want none", n)
+	}
+}
--- a/internal/coordination/schedule/crash_test.go
+++ b/internal/coordination/schedule/crash_test.go
@@ -169,7 +169,7 @@
 	h := newHarness(t, "h1", "h2")
 	h.add(idA, testStep(1, 1000))
 	starts, _ := h.plan()
-	h.pool.Restrict([]worker.ID{starts[0].Target.ID}, UseNone)
+	h.pool.Restrict([]worker.ID{starts[0].Target.ID}, UseNone, h.now)
 	h.crash(starts[0].Target.ID)
 	starts, _ = h.plan()
 	h.wantStarts(starts, idA+".0.0.0")
--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -11,6 +11,8 @@
 	report worker.Report
 	// listed is set while the live list has the host.
 	listed bool
+	// awaited is set while the host was cordoned before its first report came.
+	awaited bool
 	// confirmed is set while the worker answers and its incarnation is known; nothing
 	// is started on the host otherwise.
 	confirmed   bool
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -254,6 +254,11 @@
 		h = newHost(report, now)
 		h.expiry = p.inheritedExpiry
 		p.hosts[report.ID] = h
+	}
+	if h.awaited {
+		h.awaited, h.knownAt = false, now
+	}
+	if !ok || !h.listed {
 		p.events.Event("host-listed", "host", report.ID, "pool", p.name, "address", report.Address,
 			"rack", report.Rack, "draining", report.Draining)
 	}
--- a/internal/coordination/schedule/stop_test.go
+++ b/internal/coordination/schedule/stop_test.go
@@ -14,7 +14,7 @@
 	step.LongRunning, step.MaxPerHost, step.MaxUnavailable = true, 1, 1
 	h.add(idA, step)
 	starts := h.startLongRunning("h1", "h2", "h3")
-	h.pool.Restrict([]worker.ID{starts[0].Target.ID}, UseNone)
+	h.pool.Restrict([]worker.ID{starts[0].Target.ID}, UseNone, h.now)
 	orders := h.pool.Plan(h.now)
 	if len(orders.Stops) != 1 {
 		h.Fatalf("%d stops; want 1", len(orders.Stops))
--- a/internal/jobhost/loads.go
+++ b/internal/jobhost/loads.go
@@ -116,7 +116,7 @@
 	if !ok {
 		return false
 	}
-	ok = r.pool.Restrict(hosts, use)
+	ok = r.pool.Restrict(hosts, use, h.now())
 	r.signal()
 	return ok
 }
