--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -14,6 +14,8 @@
 	// drained is the incarnation that has said that it drains, or 0. It says so no more once the
 	// next one has reported.
 	drained worker.Incarnation
+	// awaited is set while the host was cordoned before its first report came.
+	awaited bool
 	// confirmed is set while the worker answers and its incarnation is known; nothing
 	// is started on the host otherwise.
 	confirmed   bool
