Copies of a task that all hang are stopped

Callers would see: a job that is never done, since both runs of one of its speculative tasks hang on their hosts while these extend their leases.

Cause: a run that lasts far longer than expected is taken for hanging only if it is the only one of its task, so that a slow run is left alone once it has a copy. If the copy hangs as well, neither is ever stopped. The class of fault: the remedy for a state takes away what the next remedy asks for.

Change: a run hangs if it and all other runs of its task that aren't being stopped have lasted too long. TestHangingCopiesKeepTheirHosts failed before. With one run nothing changes.

--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
@@ -118,8 +119,8 @@
 	p.stop(r, "hangs")
 }
 
-// hangs reports whether a run has used no processor time for too long or lasts far
-// longer than expected.
+// hangs reports whether a run has used no processor time for too long, or lasts far
+// longer than expected, as do the other runs of its task.
 func (p *Pool) hangs(r *run, now time.Time) bool {
 	def := r.task.step.def
 	if r.state != stateRunning || def.LongRunning || def.BestEffort || r.speed < fullSpeed {
@@ -133,7 +134,9 @@
 	if def.OneRack || (def.DataRack != "" && def.DataRack != r.host.report.Rack) {
 		longest = time.Duration(float64(longest) * max(1, p.limits.RemoteDataFactor))
 	}
-	return now.Sub(r.startedAt) > longest && len(r.task.runs) == 1
+	return !slices.ContainsFunc(r.task.runs, func(other *run) bool {
+		return other.state != stateStopping && (other.state != stateRunning || now.Sub(other.startedAt) <= longest)
+	})
 }
 
 // maxIdleTime is how long a run may use no processor time before it counts as hanging.
