--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -145,8 +145,8 @@
 		if !known || r.unsent {
 			continue
 		}
-		if r.state == stateSending || r.state == stateUnknown || r.attempts > 1 {
-			// The start, or an attempt that got no answer, may have reached the new incarnation.
+		if r.state == stateSending || r.state == stateUnknown {
+			// The start may have reached the new incarnation.
 			r.state = stateUnknown
 			continue
 		}
--- a/internal/coordination/schedule/limits.go
+++ b/internal/coordination/schedule/limits.go
@@ -59,10 +59,8 @@
 	// A new owner reads the record of the job well within this time.
 	unknownRunTimeout = 2 * time.Second
 	// unknownStartTimeout is how long the run of an unanswered start may take to appear in
-	// the host's list before the start is sent again or the run stopped.
+	// the host's list before it is stopped.
 	unknownStartTimeout = 20 * time.Millisecond
-	// maxStartAttempts is how often a start without an answer is sent before its run is stopped.
-	maxStartAttempts = 3
 	// startLifetime is how long after it was sent the start of a speculative task may take
 	// effect.
 	startLifetime = 800 * time.Millisecond
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -9,8 +9,6 @@
 // Orders are the orders and queries to send after a plan. Starts follow once their
 // placements are recorded; see Recorded.
 type Orders struct {
-	// RepeatedStarts are starts without an answer that are sent again.
-	RepeatedStarts []Start
 	// HasPlacements is set when new placements wait to be recorded.
 	HasPlacements bool
 	// HasGivenUp is set when jobs were given up, whose state waits to be recorded.
@@ -55,7 +53,7 @@
 	p.expireLeases(now)
 	p.expireReservations(now)
 	p.clearSuspicions()
-	p.stopUnneeded(now, &orders)
+	p.stopUnneeded(now)
 	p.evacuate(now)
 	p.place(now, &orders)
 	p.queryTrials(now, &orders)
@@ -89,8 +87,8 @@
 }
 
 // stopUnneeded stops runs whose job or task has ended, whose start stayed without an
-// answer, or that hang. A start without an answer is sent again first.
-func (p *Pool) stopUnneeded(now time.Time, orders *Orders) {
+// answer, or that hang.
+func (p *Pool) stopUnneeded(now time.Time) {
 	for _, h := range p.hosts {
 		for _, r := range h.runs {
 			switch {
@@ -99,12 +97,7 @@
 				p.stop(r, "job-ended")
 			case r.task.done():
 				p.stop(r, "task-done")
-			case r.queued:
 			case r.state == stateUnknown && now.Sub(r.startedAt) > unknownStartTimeout:
-				if p.mayRepeat(r, now) {
-					orders.RepeatedStarts = append(orders.RepeatedStarts, p.startOrder(r))
-					continue
-				}
 				p.stop(r, "unanswered")
 			case p.hangs(r, now):
 				p.stopHanging(r, now)
@@ -233,10 +226,6 @@
 		}
 		return
 	}
-	if r.attempts > 1 && (err != nil || reply.Refusal != worker.Accepted) {
-		p.repeatRefused(h, r, order, now, reply.Refusal, err)
-		return
-	}
 	if err == nil {
 		h.updateClock(now, reply.Clock)
 	}
@@ -249,19 +238,6 @@
 	p.startRefused(h, r, order, now, reply.Refusal, err)
 }
 
-// repeatRefused handles a repeated start that has not taken effect. An earlier attempt may
-// have, or may still do so, so the run is stopped before its task is started again.
-func (p *Pool) repeatRefused(h *host, r *run, order worker.StartOrder, now time.Time, refusal worker.Refusal, err error) {
-	p.events.Event("start-refused", "task", order.Task, "run", order.Run, "host", h.report.ID, "reason", refusal, "error", err,
-		"attempt", r.attempts)
-	if refusal == worker.RefusedFenced {
-		p.setFenced(h.report.ID)
-	}
-	if r.state == stateSending {
-		r.state, r.startedAt, r.unconfirmed, r.attempts = stateUnknown, now, true, maxStartAttempts
-	}
-}
-
 // startRefused handles a start that has certainly not taken effect.
 func (p *Pool) startRefused(h *host, r *run, order worker.StartOrder, now time.Time, refusal worker.Refusal, err error) {
 	p.events.Event("start-refused", "task", order.Task, "run", order.Run, "host", h.report.ID, "reason", refusal, "error", err,
--- a/internal/coordination/schedule/start.go
+++ b/internal/coordination/schedule/start.go
@@ -31,16 +31,13 @@
 	if !ok || !r.queued {
 		return order, false
 	}
-	if !r.unsent {
-		return p.beginRepeat(r, order, now)
-	}
 	ticket, valid := r.task.step.ticketFor(h, now)
 	if p.fenced || !r.wanted() || !h.reachable() || !p.takes(h, now) || (r.task.step.job.NeedsPlacementCheck && !valid) {
 		p.dropStart(r, now)
 		return order, false
 	}
 	e, queued := r.task.step.job, now.Sub(r.sentAt)
-	r.state, r.unsent, r.queued, r.sentAt, r.attempts, r.sentTo = stateSending, false, false, now, 1, h.incarnation
+	r.state, r.unsent, r.queued, r.sentAt = stateSending, false, false, now
 	h.lastStart = now
 	order.Ticket, order.LeaseEnd = ticket, h.nextLease(now, p.startLease(r))
 	p.events.Event("run-start", "task", r.name, "run", r.number, "host", id, "fence", int64(p.token),
@@ -49,39 +46,6 @@
 	return order, true
 }
 
-// mayRepeat reports whether a start without an answer may be sent again. The host starts the
-// run once, however many of the orders reach it, and this takes less time than to stop it and
-// to start another.
-func (p *Pool) mayRepeat(r *run, now time.Time) bool {
-	h := r.host
-	if r.attempts == 0 || r.attempts >= maxStartAttempts || r.sentTo != h.incarnation || p.fenced || !h.reachable() || !p.takes(h, now) {
-		return false
-	}
-	if r.task.step.job.NeedsPlacementCheck {
-		_, valid := r.task.step.ticketFor(h, now)
-		return valid
-	}
-	return true
-}
-
-// beginRepeat completes a repeated start that is about to be sent, unless the run has been
-// listed meanwhile or is not wanted any more.
-func (p *Pool) beginRepeat(r *run, order worker.StartOrder, now time.Time) (worker.StartOrder, bool) {
-	r.queued = false
-	if r.state != stateUnknown || r.task.step.job.Ended() || r.task.done() || !p.mayRepeat(r, now) {
-		return order, false
-	}
-	h := r.host
-	r.state, r.attempts = stateSending, r.attempts+1
-	h.startsInFlight++
-	h.lastStart = now
-	order.Ticket, _ = r.task.step.ticketFor(h, now)
-	order.LeaseEnd = h.nextLease(now, p.startLease(r))
-	p.events.Event("start-repeated", "task", r.name, "run", r.number, "host", h.report.ID, "attempt", r.attempts,
-		"after", now.Sub(r.sentAt), "heard", now.Sub(h.heardAt))
-	return order, true
-}
-
 // startLease returns the lease that a start carries, which is also how long it may be on its
 // way. A copy must not begin long after another run of its task has succeeded.
 func (p *Pool) startLease(r *run) time.Duration {
--- a/internal/coordination/schedule/task.go
+++ b/internal/coordination/schedule/task.go
@@ -101,9 +101,6 @@
 	checkpoint string
 	// unsent is set until the start order is sent, queued while it waits for its turn.
 	unsent, queued bool
-	// attempts counts how often the start was sent, all to the incarnation sentTo.
-	attempts int
-	sentTo   worker.Incarnation
 	// unconfirmed is set when the start got no answer and no host has listed the run since.
 	unconfirmed bool
 	// resumed is set when the run began from a checkpoint, adopted when an earlier owner
--- a/internal/jobhost/pool_runner.go
+++ b/internal/jobhost/pool_runner.go
@@ -95,7 +95,6 @@
 	if orders.HasPlacements || orders.HasGivenUp {
 		r.signalRecorder()
 	}
-	r.startAll(ctx, orders.RepeatedStarts)
 	for _, order := range orders.Stops {
 		r.send(ctx, order.Target, otherOrders, func(ctx context.Context) { r.stop(ctx, order) })
 	}
@@ -157,7 +156,7 @@
 	})
 }
 
-// startAll sends start orders; their placements are recorded.
+// startAll sends start orders whose placements are recorded.
 func (r *poolRunner) startAll(ctx context.Context, starts []schedule.Start) {
 	for _, order := range starts {
 		r.send(ctx, order.Target, startOrders, func(ctx context.Context) { r.start(ctx, order) })
