--- a/internal/jobhost/job_host.go
+++ b/internal/jobhost/job_host.go
@@ -257,12 +257,10 @@
 	}
 }
 
-// Drain makes Ready false, so that load balancers send callers to other entry hosts, and
-// releases all partitions once another entry host may take them over, or shortly before ctx
-// ends.
+// Drain releases all partitions and makes Ready false, so that load balancers send
+// callers to other entry hosts.
 func (h *JobHost) Drain(ctx context.Context) {
 	h.draining.Store(true)
-	h.awaitSuccessor(ctx)
 	err := h.keeper.Leave(ctx)
 	h.events.Event("drained", "error", err)
 }
