A late start is not stopped while its step allows no further absence

Cause: a start without an answer is stopped 20 ms after its time-out, and the stop is repeated every 0.7 s. Change: before each such stop is sent, a run that its host lists as at work stays if the step of its long-running task allows no further absence. TestLateStartOfALongRunningTaskIsNotStoppedWhileItsStepAllowsNoFurtherAbsence failed before.

--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -98,7 +98,7 @@
 			case r.task.done():
 				p.stop(r, "task-done")
 			case r.state == stateUnknown && now.Sub(r.startedAt) > unknownStartTimeout:
-				p.stop(r, "unanswered")
+				p.stop(r, reasonUnanswered)
 			case p.hangs(r, now):
 				p.stopHanging(r, now)
 			}
--- a/internal/coordination/schedule/stop.go
+++ b/internal/coordination/schedule/stop.go
@@ -6,8 +6,12 @@
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
 
-// reasonHostLeaves is why runs are stopped that are to go on at another host.
-const reasonHostLeaves = "host-leaves"
+const (
+	// reasonHostLeaves is why runs are stopped that are to go on at another host.
+	reasonHostLeaves = "host-leaves"
+	// reasonUnanswered is why runs are stopped whose start got no answer.
+	reasonUnanswered = "unanswered"
+)
 
 // BeginStop reports whether a stop that is about to be sent is still wanted. A long-running
 // task whose step allows no further absence by then stays where it is.
@@ -28,20 +32,33 @@
 	if r.state != stateStopping {
 		return false
 	}
-	if r.stopSentAt.IsZero() && p.mustStay(r, now) {
+	if p.mustStay(r, now) {
 		p.events.Event("stop-dropped", "task", r.name, "run", r.number, "host", id, "reason", r.stopReason)
 		p.unreserve(r.task)
-		r.state = stateRunning
+		r.state, r.unconfirmed = stateRunning, false
 		return false
 	}
 	r.stopSentAt = now
 	return true
 }
 
-// mustStay reports whether the move of a long-running task would now leave its step with too
+// mustStay reports whether the stop of a long-running task would now leave its step with too
 // few tasks available.
 func (p *Pool) mustStay(r *run, now time.Time) bool {
 	s := r.task.step
-	return r.stopReason == reasonHostLeaves && s.def.LongRunning && !s.job.Ended() && !r.host.report.Draining &&
+	return r.mayStay() && s.def.LongRunning && !s.job.Ended() && !r.host.report.Draining &&
 		!p.withinMaxUnavailable(s, r.task, now)
 }
+
+// mayStay reports whether the cause of a run's stop allows to leave the run where it is: a move
+// that has not begun, or a start without an answer that has taken effect after all.
+func (r *run) mayStay() bool {
+	switch r.stopReason {
+	case reasonHostLeaves:
+		return r.stopSentAt.IsZero()
+	case reasonUnanswered:
+		return r.atWork && r.host.confirmed
+	default:
+		return false
+	}
+}
--- a/internal/coordination/schedule/stop_test.go
+++ b/internal/coordination/schedule/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
@@ -49,3 +50,28 @@
 		t.Errorf("%d stops after one without an answer; want 1", len(orders.Stops))
 	}
 }
+
+// TestLateStartOfALongRunningTaskIsNotStoppedWhileItsStepAllowsNoFurtherAbsence leaves the start of
+// a long-running task without an answer. By the time that its stop is to be repeated, the host
+// lists the run as at work, and the other task of its step is away.
+func TestLateStartOfALongRunningTaskIsNotStoppedWhileItsStepAllowsNoFurtherAbsence(t *testing.T) {
+	h := newHarness(t, "h1", "h2")
+	step := testStep(2, 1000)
+	step.LongRunning, step.MaxPerHost, step.MaxUnavailable = true, 1, 1
+	h.add(idA, step)
+	starts, _ := h.plan()
+	h.wantStarts(starts, idA+".0.0.0", idA+".0.0.1")
+	late, away := starts[0], starts[1]
+	h.accept(away)
+	h.pool.Started(late.Target.ID, late.Order, h.now, worker.StartReply{}, false, errNoAnswer)
+	h.advance(unknownStartTimeout + time.Millisecond)
+	if _, orders := h.plan(); len(orders.Stops) != 1 {
+		t.Fatalf("%d stops of an unanswered start; want 1", len(orders.Stops))
+	}
+	h.pool.RenewalFailed(away.Target.ID, errNoAnswer)
+	h.renewRunning(late.Target.ID, 1, []worker.ActiveRun{{Task: late.Order.Task, Run: late.Order.Run, Percent: fullSpeed}})
+	h.advance(stopRetry)
+	if _, orders := h.plan(); len(orders.Stops) != 0 {
+		t.Error("a task at work was stopped while the other task of its step was away")
+	}
+}
