A tenure is acquired again only for the one that was fenced

Cause: a later owner's trace makes the host ask for a new tenure, by the token of the old one. The request waits for the renewal that is under way. If that brings a new tenure after a gap, the request ended this one and acquired it again with the same token. Two tenures then share an epoch, a fencing token and a range of run numbers, and neither the log nor a worker can tell them apart. The class: a request is carried out without asking whether what it was meant for is still there. Evidence and test: TestReacquireForAnEndedTenure failed before with "release 0", "acquire 0 with 6"; it also repeats the request for one tenure. Change: the keeper remembers the token of each tenure, and does nothing if the one named has ended. Why it works: tenures change only under the lock that the request takes, and each has a token of its own.

--- a/internal/coordination/owner/keeper.go
+++ b/internal/coordination/owner/keeper.go
@@ -62,6 +62,8 @@
 	// follows the leave, and tenures change one at a time. It is a channel rather than a
 	// mutex because it is held during network calls.
 	callLock chan struct{}
+	// tokens holds the token of each tenure that the holder has; it is used under callLock.
+	tokens map[keyedlog.Partition]int64
 
 	mu sync.Mutex
 	// confirmed is when the last successful join was sent.
@@ -83,7 +85,7 @@
 func New(group Group, holder TenureHolder, events Events, now func() time.Time, request keyedlog.JoinRequest) *Keeper {
 	return &Keeper{
 		group: group, holder: holder, events: events, now: now, request: request,
-		changed: make(chan struct{}, 1), callLock: make(chan struct{}, 1),
+		changed: make(chan struct{}, 1), callLock: make(chan struct{}, 1), tokens: map[keyedlog.Partition]int64{},
 	}
 }
 
@@ -205,7 +207,7 @@
 	released := false
 	for _, p := range before {
 		if gap || !slices.Contains(a.Partitions, p) {
-			k.holder.Release(p)
+			k.release(p)
 			k.events.Event("partition-released", "topic", p.Topic, "partition", p.Number, "generation", a.Generation, "gap", gap)
 			released = true
 		}
@@ -213,33 +215,44 @@
 	for _, p := range a.Partitions {
 		if gap || !slices.Contains(before, p) {
 			k.events.Event("partition-acquired", "topic", p.Topic, "partition", p.Number, "token", a.Generation)
-			k.holder.Acquire(p, a.Generation)
+			k.acquire(p, a.Generation)
 		}
 	}
 	return released
 }
 
+// acquire begins a tenure. The caller holds callLock.
+func (k *Keeper) acquire(p keyedlog.Partition, token int64) {
+	k.tokens[p] = token
+	k.holder.Acquire(p, token)
+}
+
+// release ends a tenure. The caller holds callLock.
+func (k *Keeper) release(p keyedlog.Partition) {
+	delete(k.tokens, p)
+	k.holder.Release(p)
+}
+
 // Reacquire replaces the tenure with the given token, because a later owner of the partition
-// was seen. The new tenure begins at once if a newer generation is known, and otherwise with
-// the next join; its token is the newest generation.
+// was seen; it does nothing if that tenure has ended. The new tenure begins at once if a newer
+// generation is known, and otherwise with the next join; its token is the newest generation.
 func (k *Keeper) Reacquire(p keyedlog.Partition, token int64) {
 	// The lock keeps out a renewal that releases the partition at the same time.
 	k.callLock <- struct{}{}
 	defer func() { <-k.callLock }()
+	if held, ok := k.tokens[p]; !ok || held != token {
+		return
+	}
 	k.mu.Lock()
 	generation := k.generation
-	held := slices.Contains(k.held, p)
-	if held && generation <= token {
+	if generation <= token {
 		// The next join acquires it again with the then current generation.
 		k.held = slices.DeleteFunc(slices.Clone(k.held), func(o keyedlog.Partition) bool { return o == p })
 	}
 	k.mu.Unlock()
-	if !held {
-		return
-	}
-	k.holder.Release(p)
+	k.release(p)
 	if generation > token {
-		k.holder.Acquire(p, generation)
+		k.acquire(p, generation)
 	}
 }
 
@@ -278,7 +291,7 @@
 	mark()
 	k.mu.Unlock()
 	for _, p := range held {
-		k.holder.Release(p)
+		k.release(p)
 	}
 	k.wake()
 	if !member {
--- a/internal/coordination/owner/keeper_test.go
+++ b/internal/coordination/owner/keeper_test.go
@@ -148,6 +148,26 @@
 	})
 }
 
+// TestReacquireForAnEndedTenure guards against two tenures with one token: a request that was meant
+// for the tenure before the gap ended the one after it.
+func TestReacquireForAnEndedTenure(t *testing.T) {
+	withKeeper(t, func(t *testing.T, g *fakeGroup, h *recordingHolder, k *Keeper) {
+		g.set(func() { g.err = errors.New("no answer") })
+		time.Sleep(3 * time.Second)
+		g.set(func() { g.err, g.assignment.Generation = nil, 6 })
+		time.Sleep(time.Second)
+		h.want(t, "release 0", "release 1", "acquire 0 with 6", "acquire 1 with 6")
+		k.Reacquire(partitions(0)[0], 3)
+		time.Sleep(time.Second)
+		h.want(t)
+		g.set(func() { g.assignment.Generation = 7 })
+		time.Sleep(time.Second)
+		k.Reacquire(partitions(0)[0], 6)
+		k.Reacquire(partitions(0)[0], 6)
+		h.want(t, "release 0", "acquire 0 with 7")
+	})
+}
+
 func TestLeave(t *testing.T) {
 	withKeeper(t, func(t *testing.T, g *fakeGroup, h *recordingHolder, k *Keeper) {
 		if err := k.Leave(t.Context()); err != nil || !g.left {
