A late report that a worker has ended counts only if it was not seen since

Callers would see: tasks started a second time while their first runs go on, once an owner of a pool was frozen. Cause: the owner of the machines compares the age of their list with that of a worker's last sign of life. The pool's owner, to whom it reports an ended worker, asks only whether the worker answers. The report may wait in the socket of a frozen owner, or in a frozen sender. If the worker came back under its ID meanwhile, was given runs and happens to be silent, they were released. The class: a judgement is carried out without asking whether its grounds still hold. Change: the load has the time of the last sign of life of a silent worker, on the clock of the pool's owner, and the report gives it back. The pool's owner does nothing if it has seen the worker since. Two tests of WorkerEnded give the time from the load, nothing else is changed in them. Why it works: the list of machines was read after that sign of life, so if it is still the last one, what the list shows came after it. An age would not do: it stands still in the socket. Nor would the time of the list: the hosts' clocks differ.

--- a/internal/coordination/schedule/crash_test.go
+++ b/internal/coordination/schedule/crash_test.go
@@ -14,7 +14,7 @@
 // crash ends a host's worker as a crash does.
 func (h *harness) crash(id worker.ID) {
 	h.pool.RenewalFailed(id, h.now, errNoAnswer)
-	h.pool.WorkerEnded(id, h.now)
+	h.pool.WorkerEnded(id, h.lastSeen(id), h.now)
 }
 
 // survive lets a host list runs after the time in which they could have crashed it.
--- a/internal/coordination/schedule/harness_test.go
+++ b/internal/coordination/schedule/harness_test.go
@@ -73,6 +73,9 @@
 	h.pool.ApplyRenewal(id, sent, h.now, worker.RenewalReply{Clock: h.clock(), Incarnation: incarnation, Running: running, Ended: ended})
 }
 
+// lastSeen returns when a host was last known to be alive, as the pool reports it.
+func (h *harness) lastSeen(id worker.ID) time.Time { return h.pool.Load(h.now).Hosts[id].LastSeen }
+
 // clock returns the reading of the hosts' clocks.
 func (h *harness) clock() time.Duration { return h.now.Sub(epoch) + time.Second }
 
--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -88,6 +88,9 @@
 // it crashes, its connections break at once.
 func (h *host) wasCutOff() bool { return !h.confirmed && h.silentAt.Sub(h.heardAt) >= silenceOfACutOff }
 
+// lastSeen returns when the host was last known to be alive, in milliseconds as peers report it.
+func (h *host) lastSeen() time.Time { return later(h.knownAt, h.heardAt).Truncate(time.Millisecond) }
+
 func (h *host) free() worker.Resources { return h.report.Capacity.Minus(h.used) }
 
 // usable reports whether a task may be placed on the host now.
--- a/internal/coordination/schedule/load.go
+++ b/internal/coordination/schedule/load.go
@@ -33,6 +33,9 @@
 	Unresponsive bool
 	// LastSeenAge is how long ago the host was last known to be alive.
 	LastSeenAge time.Duration
+	// LastSeen is when that was, on the clock of the pool's owner; peers know it for an
+	// unresponsive host only.
+	LastSeen time.Time
 }
 
 // Load returns the pool's demand and the use of its hosts.
@@ -103,7 +106,7 @@
 
 func (h *host) load(now time.Time) HostLoad {
 	load := HostLoad{
-		Unresponsive: !h.confirmed, LastSeenAge: now.Sub(later(h.knownAt, h.heardAt)), Use: h.use, Vacant: h.cordoned() && h.vacant(),
+		Unresponsive: !h.confirmed, LastSeenAge: now.Sub(h.lastSeen()), LastSeen: h.lastSeen(), Use: h.use, Vacant: h.cordoned() && h.vacant(),
 		// Only long-running tasks have room reserved, and they are on their way.
 		Runs: len(h.runs) + len(h.reserved), LongRunning: len(h.reserved),
 	}
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -272,12 +272,13 @@
 }
 
 // WorkerEnded releases the runs of a worker that, according to the list of machines, has
-// ended. It does nothing if the worker still answers, since it can't be the one that ended.
-func (p *Pool) WorkerEnded(id worker.ID, now time.Time) {
+// ended, though it was last seen at lastSeen. It does nothing if the worker answers or was seen
+// since, since it can't be the one that ended.
+func (p *Pool) WorkerEnded(id worker.ID, lastSeen, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h, ok := p.hosts[id]
-	if !ok || h.confirmed {
+	if !ok || h.confirmed || !h.lastSeen().Equal(lastSeen) {
 		return
 	}
 	p.events.Event("host-gone", "host", id, "pool", p.name, "runs", len(h.runs), "heard", h.heardAt)
--- a/internal/coordination/schedule/schedule_test.go
+++ b/internal/coordination/schedule/schedule_test.go
@@ -160,7 +160,7 @@
 	starts, _ := h.plan()
 	h.accept(starts...)
 	h.pool.RenewalFailed(starts[0].Target.ID, h.now, errNoAnswer)
-	h.pool.WorkerEnded(starts[0].Target.ID, h.now)
+	h.pool.WorkerEnded(starts[0].Target.ID, h.lastSeen(starts[0].Target.ID), h.now)
 	again, _ := h.plan()
 	h.wantStarts(again, idA+".0.0.0")
 }
--- a/internal/jobhost/fleet_machines.go
+++ b/internal/jobhost/fleet_machines.go
@@ -17,7 +17,7 @@
 	f.mu.Unlock()
 	for pool, load := range loads {
 		for _, id := range view.GoneWorkers(load) {
-			f.host.reportGone(ctx, pool, id)
+			f.host.reportGone(ctx, pool, id, load.Hosts[id].LastSeen)
 		}
 	}
 }
--- a/internal/jobhost/loads.go
+++ b/internal/jobhost/loads.go
@@ -37,10 +37,14 @@
 		SpreadHosts: int32(load.SpreadHosts), //nolint:gosec // At most the tasks of a job.
 	}
 	for id, h := range load.Hosts {
-		m.Hosts = append(m.Hosts, &wire.HostLoad{
+		host := &wire.HostLoad{
 			Id: string(id), Runs: int32(h.Runs), LongRunning: int32(h.LongRunning), //nolint:gosec // Bounded by a host's capacity.
 			Use: wire.HostUse(h.Use), Vacant: h.Vacant, LossCoreMs: h.Loss, Silent: h.Unresponsive, KnownAgoMs: h.LastSeenAge.Milliseconds(),
-		})
+		}
+		if h.Unresponsive {
+			host.KnownMs = h.LastSeen.UnixMilli()
+		}
+		m.Hosts = append(m.Hosts, host)
 	}
 	return m
 }
@@ -56,6 +60,7 @@
 		load.Hosts[worker.ID(h.GetId())] = schedule.HostLoad{
 			Runs: int(h.GetRuns()), LongRunning: int(h.GetLongRunning()), Use: schedule.Use(h.GetUse()), Vacant: h.GetVacant(),
 			Loss: h.GetLossCoreMs(), Unresponsive: h.GetSilent(), LastSeenAge: time.Duration(h.GetKnownAgoMs()) * time.Millisecond,
+			LastSeen: time.UnixMilli(h.GetKnownMs()),
 		}
 	}
 	return load
@@ -139,21 +144,22 @@
 	return err == nil && reply.GetDone()
 }
 
-// markGoneOwned marks a worker as ended, and returns false if this entry host does not own
-// the pool.
-func (h *JobHost) markGoneOwned(pool, id string) bool {
+// markGoneOwned marks a worker as ended that was last seen at lastSeen, and returns false if this
+// entry host does not own the pool.
+func (h *JobHost) markGoneOwned(pool string, id worker.ID, lastSeen time.Time) bool {
 	_, r, ok := h.ownedPool(pool)
 	if !ok {
 		return false
 	}
-	r.pool.WorkerEnded(worker.ID(id), h.now())
+	r.pool.WorkerEnded(id, lastSeen, h.now())
 	r.signal()
 	return true
 }
 
-// reportGone reports to the owner of a pool that a worker has ended.
-func (h *JobHost) reportGone(ctx context.Context, pool string, id worker.ID) {
-	if h.markGoneOwned(pool, string(id)) {
+// reportGone reports to the owner of a pool that a worker has ended. The report may arrive late, so
+// that it says by which sign of life it was judged.
+func (h *JobHost) reportGone(ctx context.Context, pool string, id worker.ID, lastSeen time.Time) {
+	if h.markGoneOwned(pool, id, lastSeen) {
 		return
 	}
 	address, ok := h.directory.ownerOf(ctx, pool)
@@ -161,5 +167,5 @@
 		return
 	}
 	// A lost report is repeated with the next list of machines.
-	_, _ = h.peers.Gone(ctx, address, &wire.GoneRequest{Pool: pool, Host: string(id)})
+	_, _ = h.peers.Gone(ctx, address, &wire.GoneRequest{Pool: pool, Host: string(id), KnownMs: lastSeen.UnixMilli()})
 }
--- a/internal/jobhost/peer_handler.go
+++ b/internal/jobhost/peer_handler.go
@@ -82,7 +82,7 @@
 
 // Gone marks a worker as ended.
 func (h peerHandler) Gone(_ context.Context, request *wire.GoneRequest) (*wire.GoneReply, error) {
-	return &wire.GoneReply{Owner: h.host.markGoneOwned(request.GetPool(), request.GetHost())}, nil
+	return &wire.GoneReply{Owner: h.host.markGoneOwned(request.GetPool(), worker.ID(request.GetHost()), time.UnixMilli(request.GetKnownMs()))}, nil
 }
 
 // Relay adds a record to the log on behalf of another entry host.
