A late status of a wave does not overwrite a newer one

Operators would see: a wave that is done is shown as running for good, after the answer to one write was lost, or after the owner of the machines was frozen. Cause: the status was written without a producer. An append that got no answer was given up after 1.5 s and followed by the next one, and could take effect after it; so could one of a former owner. The status that was written last was not written again. The owner also didn't ask again whether its tenure is confirmed after a plan's calls, which may take seconds. The class: a record that replaces others is written without anything that keeps the order. Change: the statuses are written by a loop of their own, by an appender with the token of the tenure over the machines, as other records of an owner; all that have changed by one append. It asks before each write whether the tenure is confirmed. Why it works: an append is repeated under its number until the log confirms it, so a late copy of it counts as a repeat, and one of a former owner is refused. A new owner writes each status once more, so it comes after all that former owners could write. The plans don't wait for the log.

--- a/internal/emulator/site/store.go
+++ b/internal/emulator/site/store.go
@@ -34,6 +34,9 @@
 	partitions     map[keyedlog.Partition]*storePartition
 	groups         map[string]*group
 	partitionCount int
+	// lateAppends holds how long after its call the next append to a partition takes effect. It
+	// gets no answer.
+	lateAppends map[keyedlog.Partition]time.Duration
 	// changed is closed and replaced with each append.
 	changed chan struct{}
 	random  func() float64
@@ -55,7 +58,7 @@
 func newStore(partitions int, random func() float64) *Store {
 	return &Store{
 		partitions: map[keyedlog.Partition]*storePartition{}, groups: map[string]*group{}, partitionCount: partitions,
-		changed: make(chan struct{}), random: random,
+		lateAppends: map[keyedlog.Partition]time.Duration{}, changed: make(chan struct{}), random: random,
 	}
 }
 
@@ -156,8 +159,11 @@
 	}
 	s := a.store
 	s.mu.Lock()
-	err = s.append(id, records, producer)
-	lost := err == nil && fault.LostAnswerShare > 0 && s.random() < fault.LostAnswerShare
+	late := s.delay(id, records, producer)
+	if !late {
+		err = s.append(id, records, producer)
+	}
+	lost := late || err == nil && fault.LostAnswerShare > 0 && s.random() < fault.LostAnswerShare
 	s.mu.Unlock()
 	if lost {
 		<-ctx.Done()
@@ -166,6 +172,22 @@
 	return err
 }
 
+// delay delays an append if lateAppends says so, and reports whether it does. The caller holds the
+// lock.
+func (s *Store) delay(id keyedlog.Partition, records []keyedlog.Record, producer *keyedlog.Producer) bool {
+	delay, ok := s.lateAppends[id]
+	if !ok {
+		return false
+	}
+	delete(s.lateAppends, id)
+	time.AfterFunc(delay, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		_ = s.append(id, records, producer) // Nobody waits for the outcome.
+	})
+	return true
+}
+
 func (s *Store) append(id keyedlog.Partition, records []keyedlog.Record, producer *keyedlog.Producer) error {
 	p := s.partition(id)
 	if producer != nil {
--- a/internal/jobhost/fleet_owner.go
+++ b/internal/jobhost/fleet_owner.go
@@ -77,6 +77,8 @@
 	loadedAt time.Time
 	fenced   bool
 	tenure   tenureRecord
+	// statusChanged wakes writeStatuses.
+	statusChanged chan struct{}
 }
 
 // machineOrder is an order that is being sent, or whose effect is awaited.
@@ -88,17 +90,24 @@
 	acceptedAt time.Time
 }
 
-// waveState holds when a wave was first seen and its last written status.
+// waveState holds when a wave was first seen, its status by the last plan and the last one written.
 type waveState struct {
-	seenAt  time.Time
-	written string
+	seenAt          time.Time
+	status, written string
 }
 
+// The statuses of a wave.
+const (
+	statusRunning = "running"
+	statusDone    = "done"
+)
+
 func startFleetOwner(h *JobHost, token int64) *fleetOwner {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &fleetOwner{
 		host: h, token: token, began: h.now(), cancel: cancel, planner: capacity.NewPlanner(h.settings.Capacity.Options),
 		ordered: map[string]*machineOrder{}, started: map[int64]map[string]bool{}, waves: map[int64]*waveState{}, needs: map[string]capacity.Need{},
+		statusChanged: make(chan struct{}, 1),
 	}
 	f.tenure = newTenureRecord(f.tenurePartition(), h, token)
 	f.loops.Go(func() { f.run(ctx) })
@@ -128,6 +137,7 @@
 		wait(ctx, retryPause)
 	}
 	f.loops.Go(func() { f.writeTenure(ctx) })
+	f.loops.Go(func() { f.writeStatuses(ctx) })
 	for ctx.Err() == nil {
 		f.step(ctx)
 		wait(ctx, fleetInterval)
@@ -201,7 +211,7 @@
 	actions, needs := f.planner.Plan(view)
 	f.logNeeds(needs)
 	f.carryOut(ctx, actions)
-	f.reportWaves(ctx, view.Waves)
+	f.reportWaves(view.Waves)
 }
 
 func (f *fleetOwner) setLoads(loads map[string]*schedule.Load, at time.Time) {
--- a/internal/jobhost/fleet_waves.go
+++ b/internal/jobhost/fleet_waves.go
@@ -4,6 +4,8 @@
 	"context"
 	"strconv"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/hornbeammast/hornbeammast/internal/coordination/capacity"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
 )
@@ -52,36 +54,87 @@
 	}
 }
 
-// reportWaves writes the status of each wave whose status has changed.
-func (f *fleetOwner) reportWaves(ctx context.Context, waves []capacity.Wave) {
+// reportWaves has the status of each wave written if it has changed.
+func (f *fleetOwner) reportWaves(waves []capacity.Wave) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changed := false
 	for n := range waves {
 		w := &waves[n]
-		done := w.Done(f.machines)
-		state := "running"
-		if done {
-			state = "done"
+		state := f.waves[w.Number]
+		state.status = statusRunning
+		if w.Done(f.machines) {
+			state.status = statusDone
+		}
+		changed = changed || state.status != state.written
+	}
+	if !changed {
+		return
+	}
+	select {
+	case f.statusChanged <- struct{}{}:
+	default:
+	}
+}
+
+// writeStatuses writes the changed statuses on each signal until ctx ends or a later owner is
+// seen. Each append is repeated until the log confirms it, so that none takes effect after the
+// next one, or after one of a later owner.
+func (f *fleetOwner) writeStatuses(ctx context.Context) {
+	a := newAppender(f.host, f.host.platform.Records.WaveStatusPartition(), f.token)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.statusChanged:
+		}
+		// Time may have passed since the plan; the next one repeats the signal.
+		if !f.confirmed(f.host.now()) {
+			continue
+		}
+		statuses, records := f.changedStatuses()
+		if len(records) == 0 {
+			continue
 		}
-		f.mu.Lock()
-		written := f.waves[w.Number].written
-		f.mu.Unlock()
-		if written == state {
+		err := a.append(ctx, records)
+		for number, status := range statuses {
+			f.host.events.Event("wave-reported", "wave", number, "done", status == statusDone, "error", err)
+		}
+		if errors.Is(err, keyedlog.ErrFenced) {
+			f.reacquire()
+		}
+		if err != nil {
+			return
+		}
+		f.markWritten(statuses)
+	}
+}
+
+// changedStatuses returns the statuses to write, by the number of the wave, and their records.
+func (f *fleetOwner) changedStatuses() (map[int64]string, []keyedlog.Record) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	statuses := map[int64]string{}
+	var records []keyedlog.Record
+	for number, w := range f.waves {
+		if w.status == w.written {
 			continue
 		}
-		if f.writeStatus(ctx, w.Number, done) {
-			f.mu.Lock()
-			f.waves[w.Number].written = state
-			f.mu.Unlock()
+		record, err := f.host.platform.Records.WaveStatus(number, w.status == statusDone)
+		if err != nil {
+			f.host.events.Event("record-failed", "wave", number, "token", f.token, "error", err)
+			continue
 		}
+		statuses[number] = w.status
+		records = append(records, record)
 	}
+	return statuses, records
 }
 
-func (f *fleetOwner) writeStatus(ctx context.Context, number int64, done bool) bool {
-	ctx, cancel := context.WithTimeout(ctx, maxAppendTimeout)
-	defer cancel()
-	record, err := f.host.platform.Records.WaveStatus(number, done)
-	if err == nil {
-		err = f.host.platform.Log.Append(ctx, f.host.platform.Records.WaveStatusPartition(), []keyedlog.Record{record}, nil)
+func (f *fleetOwner) markWritten(statuses map[int64]string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for number, status := range statuses {
+		f.waves[number].written = status
 	}
-	f.host.events.Event("wave-reported", "wave", number, "done", done, "error", err)
-	return err == nil
 }
