The generation in the line on the membership is read under its lock

Cause: Keeper.Run read the generation for the log line without the lock that leave holds when it resets it. The class: state read outside its lock for a log line. Change: one method returns the generation and the time of the last renewal under the lock.

--- a/internal/coordination/owner/keeper.go
+++ b/internal/coordination/owner/keeper.go
@@ -128,6 +128,13 @@
 	return k.confirmed
 }
 
+// membership returns the newest generation and when the last successful renewal was sent.
+func (k *Keeper) membership() (generation int64, confirmed time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.generation, k.confirmed
+}
+
 // Joined reports whether the host is a member as far as it knows.
 func (k *Keeper) Joined() bool {
 	k.mu.Lock()
@@ -158,8 +165,9 @@
 		}
 		if (err == nil) != healthy {
 			healthy = err == nil
+			generation, confirmed := k.membership()
 			k.events.Event("membership-"+map[bool]string{true: "regained", false: "lost"}[healthy],
-				"generation", k.generation, "confirmed", k.Confirmed(), "error", err)
+				"generation", generation, "confirmed", confirmed, "error", err)
 		}
 		if released {
 			// Joining with the new generation tells the log that the partitions are
