Appends without an answer are repeated while the first is open

Callers saw: while the log loses answers, too little is served and accepted jobs end late. Cause: a lost answer was noticed only by the time-out of 0.25 s, which then grew by half with each attempt. A job needs an append for its submission, and for the starts and the ends of each step, one after the other, and each waits for the one in flight. The class: a time-out is the only sign of loss, so that it is either too long for a lost answer or too short for a slow one. Change: within the time-out an append is repeated after eight times the last latency, at least 30 ms, up to three times, and the first answer counts; the log adds a sequence number only once. The time-out and its growth stay for a slow log, whose answer to the first call still counts. An address may have 64 connections, since each partition of an owner may now have four appends open.

--- a/internal/cmd/serve_jobs.go
+++ b/internal/cmd/serve_jobs.go
@@ -52,8 +52,9 @@
 	// offPeakShare is the fraction of a wave's duration in which busy hosts are maintained
 	// only while their pool's demand is low.
 	offPeakShare = 0.2
-	// maxConnsPerAddress bounds the open connections to one worker or platform service.
-	maxConnsPerAddress = 24
+	// maxConnsPerAddress bounds the open connections to one worker or platform service. To the log,
+	// each partition of an owner may have an append and its repeats open.
+	maxConnsPerAddress = 64
 	// machineAnswerTime is how long the machine service may take to answer an order.
 	machineAnswerTime = 250 * time.Millisecond
 	// minMachineConns and maxMachineConns bound the open orders to the machine service;
--- a/internal/jobhost/appender.go
+++ b/internal/jobhost/appender.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hornbeammast/hornbeammast/internal/coordination/hedge"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/verdict"
 )
@@ -13,11 +14,14 @@
 const (
 	// maxAppendTimeout is the longest time after which an unanswered append is sent again.
 	maxAppendTimeout = 1500 * time.Millisecond
-	// minAppendTimeout is the shortest time after which an answer counts as lost; the log
-	// usually answers within a few milliseconds.
+	// minAppendTimeout is the shortest time after which an attempt without an answer has failed.
 	minAppendTimeout = 250 * time.Millisecond
-	// latencyFactor is the timeout of an append's first attempt as a multiple of the log's
-	// last latency; it leaves time for appends of others that are queued before it.
+	// minAppendWait is the shortest time after which an append without an answer is repeated; the
+	// log usually answers within a few milliseconds.
+	minAppendWait = 30 * time.Millisecond
+	// latencyFactor is the wait before an append is repeated, and the timeout of its first
+	// attempt, as a multiple of the log's last latency; it leaves time for appends of others that
+	// are queued before it.
 	latencyFactor = 8
 	// producerName identifies owners to the log as producers of a partition.
 	producerName = "owner"
@@ -74,17 +78,29 @@
 // timeout returns the timeout of an append's first attempt. It is short because repeating
 // an append is safe, and later records wait while one answer is lost.
 func (a *appender) timeout() time.Duration {
-	latency := max(a.latency, a.host.logLatency())
-	return min(maxAppendTimeout, max(minAppendTimeout, latencyFactor*latency))
+	return min(maxAppendTimeout, max(minAppendTimeout, latencyFactor*a.logLatency()))
 }
 
+func (a *appender) logLatency() time.Duration {
+	return max(a.latency, a.host.logLatency())
+}
+
+// tryAppend appends the records under one sequence number until a call is answered.
 func (a *appender) tryAppend(ctx context.Context, records []keyedlog.Record, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	began := time.Now()
-	err := a.host.platform.Log.Append(ctx, a.partition, records, &keyedlog.Producer{Name: producerName, Epoch: a.token, Sequence: a.sequence})
-	took := time.Since(began)
-	a.host.metrics.record.observe(took, err)
+	producer := &keyedlog.Producer{Name: producerName, Epoch: a.token, Sequence: a.sequence}
+	took, err := hedge.Do(ctx, max(minAppendWait, latencyFactor*a.logLatency()), func(ctx context.Context, number int) (time.Duration, error) {
+		if number > 0 {
+			a.host.events.Event("append-repeated", "topic", a.partition.Topic, "partition", a.partition.Number,
+				"records", len(records), "sequence", producer.Sequence, "repeat", number)
+		}
+		began := time.Now()
+		err := a.host.platform.Log.Append(ctx, a.partition, records, producer)
+		took := time.Since(began)
+		a.host.metrics.record.observe(took, err)
+		return took, err
+	})
 	if err == nil {
 		a.latency = took
 	}
--- a/internal/jobhost/appender_test.go
+++ b/internal/jobhost/appender_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,18 +18,25 @@
 // lossyLog accepts appends but does not answer the next lose of them.
 type lossyLog struct {
 	Log
+	fenced bool
+
+	mu        sync.Mutex
 	lose      int
-	fenced    bool
 	sequences []int64
 }
 
 func (l *lossyLog) Append(ctx context.Context, _ keyedlog.Partition, _ []keyedlog.Record, producer *keyedlog.Producer) error {
+	l.mu.Lock()
 	l.sequences = append(l.sequences, producer.Sequence)
+	loses := l.lose > 0
+	if loses {
+		l.lose--
+	}
+	l.mu.Unlock()
 	if l.fenced {
 		return keyedlog.ErrFenced
 	}
-	if l.lose > 0 {
-		l.lose--
+	if loses {
 		<-ctx.Done()
 		return verdict.MayHaveRunError(verdict.CauseUpstreamSilent, "no answer")
 	}
@@ -53,7 +61,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		log := &lossyLog{lose: 1}
 		a := newTestAppender(log)
-		for _, limit := range []time.Duration{350 * time.Millisecond, 10 * time.Millisecond, 800 * time.Millisecond} {
+		for _, limit := range []time.Duration{100 * time.Millisecond, 10 * time.Millisecond, 200 * time.Millisecond} {
 			began := time.Now()
 			if err := a.append(t.Context(), nil); err != nil {
 				t.Fatal(err)
@@ -61,7 +69,7 @@
 			if took := time.Since(began); took > limit {
 				t.Errorf("an append took %s; want at most %s", took, limit)
 			}
-			if limit < minAppendTimeout {
+			if limit == 10*time.Millisecond {
 				log.lose = 2
 			}
 		}
