A restart does not end the stop of a start without an answer

Callers could see: a task runs twice (TWICE), after a start without an answer whose worker restarted under its ID. Cause: when a worker reports a new incarnation, its runs are released, but for starts without an answer, since these may reach the new incarnation. Such a start is stopped 20 ms after its time-out and from then on was taken for a run that is certainly lost; the stop that the former incarnation answered counted as well, on an answer that came late also for the new one. The task was started elsewhere at once. The class: what is known of a worker is kept across a change of what it is about. Evidence and test: TestRestartDoesNotEndTheStopOfAStartWithoutAnAnswer failed before: a second start, and no stop at the new incarnation. Change: such a run is kept over a restart and its stop ordered again; the answer to a stop counts only for the incarnation that was known when the stop was sent. The members of its gang are stopped as when it is released. Three tests give the time at which a stop was sent, nothing else is changed in them. Why it works: a worker that has answered a stop refuses that start later, and the list after it shows whether the start came before. Remaining: a start that was stopped, and released, before the worker's restart may still be carried out by the new incarnation.

--- a/internal/coordination/schedule/capacity_test.go
+++ b/internal/coordination/schedule/capacity_test.go
@@ -146,7 +146,7 @@
 	if orders.Stops[0].Order.Task != stopped.Order.Task {
 		stopped, kept = kept, stopped
 	}
-	h.pool.Stopped("h1", orders.Stops[0].Order, h.now, nil)
+	h.pool.Stopped("h1", orders.Stops[0].Order, h.now, h.now, nil)
 	none, _ = h.plan()
 	h.wantStarts(none)
 	h.renewRunning("h1", 1, []worker.ActiveRun{{Task: kept.Order.Task, Run: kept.Order.Run, Percent: 100, Usage: 1}}, endedRun(stopped, worker.OutcomeStopped))
--- a/internal/coordination/schedule/cordon_test.go
+++ b/internal/coordination/schedule/cordon_test.go
@@ -28,7 +28,7 @@
 
 // carryOut answers a stop and delivers a reply without the stopped run.
 func (h *harness) carryOut(stop Stop) {
-	h.pool.Stopped(stop.Target.ID, stop.Order, h.now, nil)
+	h.pool.Stopped(stop.Target.ID, stop.Order, h.now, h.now, nil)
 	h.advance(time.Millisecond)
 	h.renew(stop.Target.ID, 1)
 }
--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -153,16 +153,19 @@
 	h.health = health{}
 	clear(h.unknownRuns)
 	for _, r := range h.runs {
-		// An unsent run was on no incarnation; its record or its turn at the host releases it.
-		if !known || r.unsent {
-			continue
-		}
-		if r.state == stateSending || r.state == stateUnknown {
+		switch {
+		case !known || r.unsent:
+			// An unsent run was on no incarnation; its record or its turn at the host releases it.
+		case r.state == stateSending || r.state == stateUnknown:
 			// The start may have reached the new incarnation.
 			r.state = stateUnknown
-			continue
+		case r.state == stateStopping && r.mayBeAbsent():
+			// So it may, and the new incarnation knows nothing of the stop.
+			r.stopSentAt, r.stopAckedAt = time.Time{}, time.Time{}
+			p.stopGangOf(r, "gang-lapsed")
+		default:
+			p.release(r, now, worker.OutcomeLeaseExpired)
 		}
-		p.release(r, now, worker.OutcomeLeaseExpired)
 	}
 }
 
--- a/internal/coordination/schedule/incarnation_test.go
+++ b/internal/coordination/schedule/incarnation_test.go
@@ -51,3 +51,42 @@
 		t.Error("the list of the present incarnation was ignored")
 	}
 }
+
+// noAnswer leaves starts without an answer.
+func (h *harness) noAnswer(starts ...Start) {
+	for _, s := range starts {
+		h.pool.Started(s.Target.ID, s.Order, h.now, worker.StartReply{}, false, errNoAnswer)
+	}
+}
+
+// TestRestartDoesNotEndTheStopOfAStartWithoutAnAnswer guards against a task that is started a
+// second time while the first start may still be carried out, by the next incarnation, which knows
+// nothing of a stop.
+func TestRestartDoesNotEndTheStopOfAStartWithoutAnAnswer(t *testing.T) {
+	h := newHarness(t, "h1")
+	h.add(idA, testStep(1, 1000))
+	starts, _ := h.plan()
+	h.noAnswer(starts...)
+	h.advance(2 * unknownStartTimeout)
+	_, orders := h.plan()
+	if len(orders.Stops) != 1 {
+		t.Fatalf("%d stops of a start without an answer; want 1", len(orders.Stops))
+	}
+	stop := orders.Stops[0]
+	sent := h.now
+	list := h.restart("h1")
+	// The answer of the former incarnation does not bind this one.
+	h.pool.Stopped("h1", stop.Order, sent, h.now, nil)
+	h.advance(10 * time.Millisecond)
+	list()
+	again, orders := h.plan()
+	h.wantStarts(again)
+	if len(orders.Stops) != 1 {
+		t.Fatalf("%d stops at the next incarnation; want 1", len(orders.Stops))
+	}
+	h.pool.Stopped("h1", stop.Order, h.now, h.now, nil)
+	h.advance(100 * time.Millisecond)
+	list()
+	again, _ = h.plan()
+	h.wantStarts(again, idA+".0.0.0")
+}
--- a/internal/coordination/schedule/outcome.go
+++ b/internal/coordination/schedule/outcome.go
@@ -150,9 +150,7 @@
 	}
 	if outcome == worker.OutcomeLeaseExpired {
 		p.events.Event("run-lapsed", "task", r.name, "run", r.number, "host", r.host.report.ID, "heard", r.host.heardAt)
-		if t.step.def.Gang && r.number == t.step.gangRun {
-			p.stopGang(t.step, "gang-lapsed")
-		}
+		p.stopGangOf(r, "gang-lapsed")
 	}
 }
 
@@ -167,6 +165,13 @@
 	r.stopAckedAt = time.Time{}
 }
 
+// stopGangOf stops the gang of a run whole if the run is part of its current one.
+func (p *Pool) stopGangOf(r *run, reason string) {
+	if s := r.task.step; s.def.Gang && r.number == s.gangRun {
+		p.stopGang(s, reason)
+	}
+}
+
 // stopGang stops all members of a gang's current run.
 func (p *Pool) stopGang(s *step, reason string) {
 	for _, t := range s.tasks {
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -180,7 +180,7 @@
 			p.events.Event("run-stop", "task", r.name, "run", r.number, "host", id, "reason", r.stopReason)
 			r.stopQueued = true
 			orders.Stops = append(orders.Stops, Stop{
-				Target: target, Order: worker.StopOrder{Task: r.name, Run: r.number, Token: p.token}, MayBeAbsent: r.startedAt.IsZero() || r.unconfirmed,
+				Target: target, Order: worker.StopOrder{Task: r.name, Run: r.number, Token: p.token}, MayBeAbsent: r.mayBeAbsent(),
 			})
 		}
 		for key, since := range h.unknownRuns {
@@ -194,12 +194,16 @@
 	}
 }
 
-// Stopped applies the answer to a stop.
-func (p *Pool) Stopped(id worker.ID, order worker.StopOrder, now time.Time, err error) {
+// mayBeAbsent reports whether the host may not have begun a run whose start was sent.
+func (r *run) mayBeAbsent() bool { return r.startedAt.IsZero() || r.unconfirmed }
+
+// Stopped applies the answer to a stop that was sent at sent. The answer of an earlier incarnation
+// does not bind the present one.
+func (p *Pool) Stopped(id worker.ID, order worker.StopOrder, sent, now time.Time, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h, ok := p.hosts[id]
-	if !ok || err != nil {
+	if !ok || err != nil || sent.Before(h.incarnationAt) {
 		return
 	}
 	// Keep the time of the first answer: a list requested after it reflects the stop.
--- a/internal/coordination/schedule/schedule_test.go
+++ b/internal/coordination/schedule/schedule_test.go
@@ -58,7 +58,7 @@
 		_, orders := h.plan()
 		for _, stop := range orders.Stops {
 			h.advance(time.Millisecond)
-			h.pool.Stopped(stop.Target.ID, stop.Order, h.now, nil)
+			h.pool.Stopped(stop.Target.ID, stop.Order, h.now, h.now, nil)
 		}
 		// The renewal was sent before the stop was answered and takes its full wait.
 		h.advance(time.Second)
--- a/internal/jobhost/pool_runner.go
+++ b/internal/jobhost/pool_runner.go
@@ -225,7 +225,7 @@
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
 	err := r.host.platform.Workers.Stop(ctx, stop.Target, stop.Order)
-	r.pool.Stopped(stop.Target.ID, stop.Order, r.host.now(), err)
+	r.pool.Stopped(stop.Target.ID, stop.Order, now, r.host.now(), err)
 	if err == nil && stop.MayBeAbsent {
 		r.query(stop.Target.ID)
 	}
