A start that was stopped is stopped again after a restart of its worker

Callers could see: a task that ran and ended elsewhere is started again by a worker that restarted under its ID (TWICE). Cause: a start without an answer is stopped, and its run released once the worker has answered the stop, or once the worker has ended. An order without an answer may be carried out seconds later, and the next incarnation knows neither the stop nor the fencing token; the deadline of the start is far in the future on its clock, which begins anew. The class: an order stays valid after its sender has stopped to count on it. Evidence and test: TestStoppedStartIsStoppedAgainAfterARestart failed before. Why it works: a worker that has answered a stop refuses the start later. Remaining: nothing holds a late start off before the owner has reached the new incarnation, and a new owner doesn't know the unanswered starts of the one before it.

--- a/internal/coordination/schedule/cordon.go
+++ b/internal/coordination/schedule/cordon.go
@@ -51,9 +51,8 @@
 
 // await adds a host of which no report has come yet.
 func (p *Pool) await(id worker.ID, now time.Time) *host {
-	h := newHost(worker.Report{ID: id, Pool: p.name}, now)
-	h.awaited, h.expiry = true, later(p.inheritedExpiry, now.Add(p.limits.maxLeaseDuration()))
-	p.hosts[id] = h
+	h := p.addHost(worker.Report{ID: id, Pool: p.name}, now, later(p.inheritedExpiry, now.Add(p.limits.maxLeaseDuration())))
+	h.awaited = true
 	return h
 }
 
--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -152,6 +152,7 @@
 	h.received, h.acknowledged = 0, 0
 	h.health = health{}
 	clear(h.unknownRuns)
+	h.unanswered.restarted(now)
 	for _, r := range h.runs {
 		switch {
 		case !known || r.unsent:
@@ -175,6 +176,7 @@
 	formerStops := h.contactedAt.Add(p.limits.StopTime)
 	for n := range rows {
 		row := &rows[n]
+		delete(h.unanswered, runKey{row.Task, row.Run})
 		r, ok := h.runs[runKey{row.Task, row.Run}]
 		if !ok {
 			r = p.adopt(h, row, now)
--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -47,6 +47,7 @@
 	// unknownRuns are listed runs of jobs that this owner does not know, with the time when
 	// each was first listed or last ordered to stop.
 	unknownRuns map[runKey]time.Time
+	unanswered  unansweredStarts
 	// used is what the runs and the reserved tasks take of the host's capacity.
 	used worker.Resources
 	// reserved holds the tasks for which room is kept.
@@ -76,8 +77,14 @@
 
 func (r *run) key() runKey { return runKey{r.name, r.number} }
 
-func newHost(report worker.Report, knownAt time.Time) *host {
-	return &host{report: report, knownAt: knownAt, runs: map[runKey]*run{}, unknownRuns: map[runKey]time.Time{}}
+// addHost adds a host, with the unanswered starts to it from before it left the pool.
+func (p *Pool) addHost(report worker.Report, knownAt, expiry time.Time) *host {
+	h := &host{
+		report: report, knownAt: knownAt, expiry: expiry, runs: map[runKey]*run{}, unknownRuns: map[runKey]time.Time{},
+		unanswered: p.takeUnanswered(report.ID),
+	}
+	p.hosts[report.ID] = h
+	return h
 }
 
 // wasToldToLeave reports whether the present incarnation ends by intent: it drains, or was
--- a/internal/coordination/schedule/incarnation_test.go
+++ b/internal/coordination/schedule/incarnation_test.go
@@ -90,3 +90,40 @@
 	again, _ = h.plan()
 	h.wantStarts(again, idA+".0.0.0")
 }
+
+// TestStoppedStartIsStoppedAgainAfterARestart guards against a task that is started a second time:
+// a start that got no answer and was stopped is carried out late by the next incarnation, also if
+// the worker had left the pool meanwhile.
+func TestStoppedStartIsStoppedAgainAfterARestart(t *testing.T) {
+	for name, leaves := range map[string]bool{"restart": false, "leaves and comes back": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, "h1")
+			h.add(idA, testStep(1, 1000))
+			starts, _ := h.plan()
+			h.noAnswer(starts...)
+			h.advance(2 * unknownStartTimeout)
+			_, orders := h.plan()
+			h.pool.Stopped("h1", orders.Stops[0].Order, h.now, h.now, nil)
+			h.advance(time.Millisecond)
+			h.renew("h1", 1)
+			h.pool.CancelJob(idA, h.now)
+			if leaves {
+				h.pool.RenewalFailed("h1", h.now, errNoAnswer)
+				h.pool.WorkerEnded("h1", h.lastSeen("h1"), h.now)
+				h.list()
+				h.list("h1")
+			}
+			list := h.restart("h1")
+			_, orders = h.plan()
+			if len(orders.Stops) != 1 || orders.Stops[0].Order.Run != starts[0].Order.Run {
+				t.Fatalf("stops at the next incarnation: %v; want that of the start without an answer", orders.Stops)
+			}
+			h.pool.Stopped("h1", orders.Stops[0].Order, h.now, h.now, nil)
+			h.advance(2 * stopRetry)
+			list()
+			if _, orders = h.plan(); len(orders.Stops) != 0 {
+				t.Errorf("a stop that was answered is ordered again: %v", orders.Stops)
+			}
+		})
+	}
+}
--- a/internal/coordination/schedule/outcome.go
+++ b/internal/coordination/schedule/outcome.go
@@ -23,6 +23,7 @@
 	p.unacknowledged[h.report.ID] = h
 	key := runKey{end.Task, end.Run}
 	delete(h.unknownRuns, key)
+	delete(h.unanswered, key)
 	r := h.runs[key]
 	e, ok := p.jobs[jobID(end.Task)]
 	if !ok {
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -183,6 +183,7 @@
 				Target: target, Order: worker.StopOrder{Task: r.name, Run: r.number, Token: p.token}, MayBeAbsent: r.mayBeAbsent(),
 			})
 		}
+		p.stopUnanswered(h, now, orders)
 		for key, since := range h.unknownRuns {
 			if now.Sub(since) < unknownRunTimeout {
 				continue
@@ -206,8 +207,10 @@
 	if !ok || err != nil || sent.Before(h.incarnationAt) {
 		return
 	}
+	key := runKey{order.Task, order.Run}
+	h.unanswered.stopped(key)
 	// Keep the time of the first answer: a list requested after it reflects the stop.
-	if r, ok := h.runs[runKey{order.Task, order.Run}]; ok && r.stopAckedAt.IsZero() {
+	if r, ok := h.runs[key]; ok && r.stopAckedAt.IsZero() {
 		r.stopAckedAt = now
 	}
 }
@@ -217,12 +220,16 @@
 func (p *Pool) Started(id worker.ID, order worker.StartOrder, now time.Time, reply worker.StartReply, notSent bool, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	key := runKey{order.Task, order.Run}
+	if err == nil || notSent {
+		p.startAnswered(id, key)
+	}
 	h, ok := p.hosts[id]
 	if !ok {
 		return
 	}
 	h.startsInFlight--
-	r, ok := h.runs[runKey{order.Task, order.Run}]
+	r, ok := h.runs[key]
 	if !ok {
 		return
 	}
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -57,6 +57,8 @@
 	// hasGivenUp is set until the next plan when a job was given up.
 	hasGivenUp bool
 	hosts      map[worker.ID]*host
+	// unanswered holds the starts without an answer to workers that have left the pool.
+	unanswered map[worker.ID]unansweredStarts
 	// fenced is set once a host has accepted the fencing token of a later owner.
 	fenced    bool
 	estimates estimates
@@ -73,7 +75,7 @@
 		jobs:            map[job.ID]*jobEntry{}, hosts: map[worker.ID]*host{},
 		open: map[job.ID]*jobEntry{}, dirty: map[job.ID]*jobEntry{}, unacknowledged: map[worker.ID]*host{},
 		reservations: map[*task]reservation{}, suspects: map[*task]struct{}{},
-		estimates: estimates{},
+		unanswered: map[worker.ID]unansweredStarts{}, estimates: estimates{},
 	}
 	for _, apply := range opts {
 		apply(p)
@@ -126,9 +128,7 @@
 func (p *Pool) inherit(e *jobEntry, placed jobs.Placement) {
 	h, ok := p.hosts[placed.Host]
 	if !ok {
-		h = newHost(worker.Report{ID: placed.Host, Pool: p.name}, p.tenureStart)
-		h.expiry = p.inheritedExpiry
-		p.hosts[placed.Host] = h
+		h = p.addHost(worker.Report{ID: placed.Host, Pool: p.name}, p.tenureStart, p.inheritedExpiry)
 	}
 	t := e.task(placed.Task)
 	if t == nil || e.Ended() {
@@ -244,6 +244,7 @@
 		if len(h.runs) == 0 && !now.Before(h.expiry) {
 			delete(p.hosts, id)
 			delete(p.unacknowledged, id)
+			p.keepUnanswered(h, now)
 		}
 	}
 }
@@ -251,9 +252,7 @@
 func (p *Pool) setHost(report worker.Report, now time.Time) {
 	h, ok := p.hosts[report.ID]
 	if !ok {
-		h = newHost(report, now)
-		h.expiry = p.inheritedExpiry
-		p.hosts[report.ID] = h
+		h = p.addHost(report, now, p.inheritedExpiry)
 	}
 	if h.awaited {
 		h.awaited, h.knownAt = false, now
--- a/internal/coordination/schedule/start.go
+++ b/internal/coordination/schedule/start.go
@@ -39,6 +39,7 @@
 	e, queued := r.task.step.job, now.Sub(r.sentAt)
 	r.state, r.unsent, r.queued, r.sentAt = stateSending, false, false, now
 	h.lastStart = now
+	h.unanswered.add(r.key(), now)
 	order.Ticket, order.LeaseEnd = ticket, h.nextLease(now, p.startLease(r))
 	p.events.Event("run-start", "task", r.name, "run", r.number, "host", id, "fence", int64(p.token),
 		"waited", now.Sub(e.AcceptedAt), "left-to-objective", e.objective(r.name.Occurrence).Sub(now),
--- a/internal/coordination/schedule/stop.go
+++ b/internal/coordination/schedule/stop.go
@@ -26,7 +26,7 @@
 	r, ok := h.runs[key]
 	if !ok {
 		_, unknown := h.unknownRuns[key]
-		return unknown
+		return unknown || h.unanswered.wantsStop(key)
 	}
 	r.stopQueued = false
 	if r.state != stateStopping {
