Nothing is acknowledged to a worker that is known to have restarted

Callers could see: tasks that are started again after their successful ends (TWICE). Cause: a worker that restarts under its ID numbers its ends anew. While the owner waits for the answer to a lease renewal that never comes, for up to 2.2 s, it takes the worker for the former incarnation: it starts tasks there, and the next renewal acknowledges, by the old numbers, ends that nobody has read; the runs then look as if they had vanished. The class: what is known of a worker is kept across a change of what it is about. Tests: TestNothingIsAcknowledgedToAWorkerThatReportsARestart and TestNothingIsAcknowledgedToAWorkerWhoseClockHasGoneBack failed before. Change: a restart is seen as well from the worker's report, and from the answer to a start whose clock reading is earlier than one from before the start was sent. Until the next list nothing is acknowledged to the worker and nothing started on it; a list that was requested before doesn't count. Why it works: a worker's clock is steady, and begins anew with each incarnation. A list of the same incarnation that was requested later shows that the report was wrong. Remaining: a renewal without an answer that is carried out seconds late by the next incarnation.

--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -72,7 +72,7 @@
 		p.setFenced(id)
 		return
 	}
-	if reply.Incarnation == h.incarnation && reply.Clock < h.clock {
+	if reply.Incarnation == h.incarnation && (reply.Clock < h.clock || sent.Before(h.restartSeenAt)) {
 		// A later reply has been applied already, so these lists may be out of date.
 		return
 	}
@@ -137,6 +137,13 @@
 	p.fenced = true
 }
 
+// restartSeen records that a host's worker has restarted, though no list of its next incarnation has
+// come yet. Its ends are numbered anew, so none may be acknowledged before.
+func (p *Pool) restartSeen(h *host, now time.Time) {
+	p.events.Event("host-restart-seen", "host", h.report.ID, "pool", p.name, "before", h.incarnation, "runs", len(h.runs))
+	h.confirmed, h.restartSeenAt = false, now
+}
+
 // newIncarnation resets what is known of a host whose worker reports a new incarnation. A
 // restarted worker has none of its earlier runs.
 func (p *Pool) newIncarnation(h *host, incarnation worker.Incarnation, now time.Time) {
--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -22,6 +22,9 @@
 	incarnation worker.Incarnation
 	// incarnationAt is when the incarnation became known.
 	incarnationAt time.Time
+	// restartSeenAt is when it was last seen that the worker has restarted, before the list of its
+	// next incarnation came.
+	restartSeenAt time.Time
 	// contactedAt is when the worker first answered this owner, zero before.
 	contactedAt time.Time
 	// failedContact is set once a renewal got no answer before the worker first answered.
@@ -151,6 +154,12 @@
 	h.clock, h.clockAt = clock, now
 }
 
+// clockWentBack reports whether the answer to an order that was sent at sent has a clock reading
+// from before the order, so that it must be another incarnation's.
+func (h *host) clockWentBack(sent time.Time, clock time.Duration) bool {
+	return clock > 0 && clock < h.clock && !sent.Before(h.clockAt)
+}
+
 func (h *host) add(r *run) {
 	h.runs[r.key()] = r
 	h.used = h.used.Plus(r.needs)
--- a/internal/coordination/schedule/incarnation_test.go
+++ b/internal/coordination/schedule/incarnation_test.go
@@ -127,3 +127,60 @@
 		})
 	}
 }
+
+// acknowledges reports whether the next renewal of a host acknowledges ended runs.
+func (h *harness) acknowledges(id worker.ID) bool {
+	order, ok := h.pool.NextRenewal(id, h.now)
+	return ok && order.Acknowledged > 0
+}
+
+// wantNoAcknowledgement checks that a host is acknowledged nothing, also after a list of its former
+// incarnation, which was on its way.
+func (h *harness) wantNoAcknowledgement(id worker.ID) {
+	h.Helper()
+	if h.acknowledges(id) {
+		h.Error("ends are acknowledged to a worker that has restarted")
+	}
+	h.pool.ApplyRenewal(id, h.now.Add(-time.Millisecond), h.now, worker.RenewalReply{Clock: h.clock(), Incarnation: 1})
+	if h.acknowledges(id) {
+		h.Error("ends are acknowledged to a worker that has restarted, after a list of its former incarnation")
+	}
+}
+
+// withAcknowledgedEnd returns a harness with a host that has an acknowledged end, and the start of
+// another task on it.
+func withAcknowledgedEnd(t *testing.T) (*harness, []Start) {
+	t.Helper()
+	h := newHarness(t, "h1")
+	h.add(idA, testStep(1, 1000))
+	starts, _ := h.plan()
+	h.accept(starts...)
+	h.advance(time.Second)
+	h.renew("h1", 1, endedRun(starts[0], worker.OutcomeDone))
+	h.plan()
+	if !h.acknowledges("h1") {
+		t.Fatal("a recorded end is not acknowledged")
+	}
+	h.add(idB, testStep(1, 1000))
+	starts, _ = h.plan()
+	return h, starts
+}
+
+// TestNothingIsAcknowledgedToAWorkerWhoseClockHasGoneBack guards against ends that are forgotten
+// unread, and tasks that are started again after them: the numbers of ends begin anew.
+func TestNothingIsAcknowledgedToAWorkerWhoseClockHasGoneBack(t *testing.T) {
+	h, starts := withAcknowledgedEnd(t)
+	h.advance(time.Millisecond)
+	h.pool.Started("h1", starts[0].Order, h.now, worker.StartReply{Clock: 300 * time.Millisecond}, false, nil)
+	h.wantNoAcknowledgement("h1")
+}
+
+// TestNothingIsAcknowledgedToAWorkerThatReportsARestart is the same for a worker whose report comes
+// before its first answer.
+func TestNothingIsAcknowledgedToAWorkerThatReportsARestart(t *testing.T) {
+	h, _ := withAcknowledgedEnd(t)
+	restarted := report("h1")
+	restarted.Incarnation = 2
+	h.pool.SetHosts([]worker.Report{restarted}, h.now)
+	h.wantNoAcknowledgement("h1")
+}
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -240,7 +240,11 @@
 		}
 		return
 	}
-	if err == nil && !r.sentAt.Before(h.incarnationAt) {
+	switch {
+	case err != nil || r.sentAt.Before(h.incarnationAt):
+	case h.clockWentBack(r.sentAt, reply.Clock):
+		p.restartSeen(h, now)
+	default:
 		h.updateClock(now, reply.Clock)
 	}
 	if err == nil && reply.Refusal == worker.Accepted {
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -272,6 +272,9 @@
 	if report.Address != h.report.Address {
 		h.confirmed = false
 	}
+	if report.Incarnation > h.report.Incarnation && h.incarnation != 0 && report.Incarnation > h.incarnation {
+		p.restartSeen(h, now)
+	}
 	h.report, h.listed = report, true
 }
 
