Runs of a worker's next incarnation are not taken for lost

Callers could see: a task that is started a second time while its first run goes on (TWICE), or a job that is given up (failed) though no task of it crashed a host. Cause: a start that is sent before the owner knows of a restart may be accepted by the next incarnation. The first list of that incarnation released all runs, also those that it had accepted, if it was requested before they were and came after, or counted the crash of the former incarnation against them. The class: a judgement is carried out without asking whether its grounds hold for what it is about. Evidence and tests: TestRunThatTheNextIncarnationAcceptedIsNotTakenForLost and TestRunOfTheNextIncarnationIsNotTakenForLost failed before. The emulator's late starts and stops now reach the incarnation that has the worker's ID by then; a start, if that is older than 3 s, since sooner nobody can prevent it. Change: runs that were accepted after the list was requested, or by an answer with the clock of the next incarnation, stay. If a later list does not have them, they are stopped and started again. Why it works: a list says only what was there when it was made.

--- a/internal/coordination/schedule/crash.go
+++ b/internal/coordination/schedule/crash.go
@@ -23,14 +23,14 @@
 	maxCrashes    = 4
 )
 
-// hostCrashed counts the crash of a host against the tasks whose runs are lost with it. A host
-// that was told to leave has not crashed.
-func (p *Pool) hostCrashed(h *host, now time.Time) {
+// hostCrashed counts the crash of a host, which came before until, against the tasks whose runs are
+// lost with it. A host that was told to leave has not crashed.
+func (p *Pool) hostCrashed(h *host, until, now time.Time) {
 	if h.wasToldToLeave() {
 		return
 	}
 	h.lastStart = time.Time{}
-	starting, working := h.lostRuns()
+	starting, working := h.lostRuns(until)
 	if len(starting)+len(working) == 0 {
 		return
 	}
@@ -41,12 +41,12 @@
 	}
 }
 
-// lostRuns returns the runs of tasks that are still needed: those that were starting and those
-// that the host has borne for a while.
-func (h *host) lostRuns() (starting, working []*run) {
+// lostRuns returns the runs of tasks that are still needed and were lost in a crash before until:
+// those that were starting and those that the host has borne for a while.
+func (h *host) lostRuns(until time.Time) (starting, working []*run) {
 	for _, r := range h.runs {
 		switch {
-		case r.unsent || r.task.step.job.Ended() || r.task.done():
+		case r.unsent || r.mayBeOnNext(until) || r.task.step.job.Ended() || r.task.done():
 		case r.workedFor() < r.task.trialTime():
 			starting = append(starting, r)
 		default:
--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -81,7 +81,7 @@
 			// The answer is from an earlier incarnation. If it is from a later one, so is the next.
 			return
 		}
-		p.newIncarnation(h, reply.Incarnation, now)
+		p.newIncarnation(h, reply.Incarnation, sent, now)
 	}
 	if !h.confirmed {
 		p.events.Event("host-answers", "host", id, "pool", p.name, "life", reply.Incarnation, "running", len(reply.Running), "ended", len(reply.Ended))
@@ -144,15 +144,15 @@
 	h.confirmed, h.restartSeenAt = false, now
 }
 
-// newIncarnation resets what is known of a host whose worker reports a new incarnation. A
-// restarted worker has none of its earlier runs.
-func (p *Pool) newIncarnation(h *host, incarnation worker.Incarnation, now time.Time) {
+// newIncarnation resets what is known of a host whose worker reports a new incarnation, in an
+// answer that was requested at sent. A restarted worker has none of its earlier runs.
+func (p *Pool) newIncarnation(h *host, incarnation worker.Incarnation, sent, now time.Time) {
 	if h.incarnation != 0 {
 		p.events.Event("host-restarted", "host", h.report.ID, "pool", p.name, "life", incarnation, "before", h.incarnation, "runs", len(h.runs))
 	}
 	known := h.incarnation != 0
 	if known {
-		p.hostCrashed(h, now)
+		p.hostCrashed(h, sent, now)
 	}
 	h.incarnation, h.incarnationAt = incarnation, now
 	h.clock, h.clockAt, h.leaseSent = 0, now, 0
@@ -171,12 +171,20 @@
 			// So it may, and the new incarnation knows nothing of the stop.
 			r.stopSentAt, r.stopAckedAt = time.Time{}, time.Time{}
 			p.stopGangOf(r, "gang-lapsed")
+		case r.mayBeOnNext(sent):
+			r.onNext = false
 		default:
 			p.release(r, now, worker.OutcomeLeaseExpired)
 		}
 	}
 }
 
+// mayBeOnNext reports whether the next incarnation of the worker, whose first list was requested at
+// sent, may have accepted the run. If it has not, a later list shows that.
+func (r *run) mayBeOnNext(sent time.Time) bool {
+	return r.onNext || (!r.mayBeAbsent() && r.startedAt.After(sent))
+}
+
 // applyActiveRuns applies a worker's list of running runs, which was requested at sent.
 func (p *Pool) applyActiveRuns(h *host, rows []worker.ActiveRun, sent, now time.Time) {
 	// Until then the list may show a run that a former owner has stopped.
--- a/internal/coordination/schedule/incarnation_test.go
+++ b/internal/coordination/schedule/incarnation_test.go
@@ -184,3 +184,37 @@
 	h.pool.SetHosts([]worker.Report{restarted}, h.now)
 	h.wantNoAcknowledgement("h1")
 }
+
+// TestRunThatTheNextIncarnationAcceptedIsNotTakenForLost guards against a task that is started a
+// second time: the answer to the start overtook the incarnation's first list.
+func TestRunThatTheNextIncarnationAcceptedIsNotTakenForLost(t *testing.T) {
+	h := newHarness(t, "h1")
+	h.add(idA, testStep(1, 1000))
+	sent := h.now
+	starts, _ := h.plan()
+	h.advance(2 * time.Millisecond)
+	h.accept(starts...)
+	h.pool.ApplyRenewal("h1", sent, h.now, worker.RenewalReply{Clock: time.Millisecond, Incarnation: 2})
+	again, _ := h.plan()
+	h.wantStarts(again)
+}
+
+// TestRunOfTheNextIncarnationIsNotTakenForLost is the same for a start that was answered with the
+// clock of the next incarnation, before the list was requested. No crash is counted against its task.
+func TestRunOfTheNextIncarnationIsNotTakenForLost(t *testing.T) {
+	h := newHarness(t, "h1")
+	h.advance(time.Second)
+	h.renew("h1", 1)
+	h.add(idA, testStep(1, 1000))
+	starts, _ := h.plan()
+	h.advance(2 * time.Millisecond)
+	h.pool.Started("h1", starts[0].Order, h.now, worker.StartReply{Clock: time.Millisecond}, false, nil)
+	h.advance(time.Millisecond)
+	running := worker.ActiveRun{Task: starts[0].Order.Task, Run: starts[0].Order.Run, Percent: fullSpeed}
+	h.pool.ApplyRenewal("h1", h.now, h.now, worker.RenewalReply{Clock: 4 * time.Millisecond, Incarnation: 2, Running: []worker.ActiveRun{running}})
+	again, _ := h.plan()
+	h.wantStarts(again)
+	if crashes := h.pool.jobs[idA].Crashes(0, 0, 0); crashes != 0 {
+		t.Errorf("%d crashes are counted against a task that runs", crashes)
+	}
+}
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -243,6 +243,7 @@
 	switch {
 	case err != nil || r.sentAt.Before(h.incarnationAt):
 	case h.clockWentBack(r.sentAt, reply.Clock):
+		r.onNext = true
 		p.restartSeen(h, now)
 	default:
 		h.updateClock(now, reply.Clock)
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -290,7 +290,7 @@
 	}
 	p.events.Event("host-gone", "host", id, "pool", p.name, "runs", len(h.runs), "heard", h.heardAt)
 	h.expiry = now
-	p.hostCrashed(h, now)
+	p.hostCrashed(h, now, now)
 	p.releaseAll(h, now)
 }
 
--- a/internal/emulator/site/worker.go
+++ b/internal/emulator/site/worker.go
@@ -97,6 +97,9 @@
 	return time.Second + time.Duration(w.clockRate*float64(time.Since(w.startedAt)))
 }
 
+// age returns for how long the worker has run.
+func (w *Worker) age() time.Duration { return time.Since(w.startedAt) }
+
 // report returns the report that the worker publishes in the log.
 func (w *Worker) report() worker.Report {
 	w.mu.Lock()
--- a/internal/emulator/site/worker_access.go
+++ b/internal/emulator/site/worker_access.go
@@ -16,6 +16,8 @@
 	// minLateDelay and maxLateDelay bound the delay with which an order that gets no
 	// answer is carried out.
 	minLateDelay, maxLateDelay = 2 * time.Second, 12 * time.Second
+	// reachTime is how long after its start an owner has reached a worker, beside lost orders.
+	reachTime = 3 * time.Second
 )
 
 // workerAccess is an entry host's client of the workers.
@@ -41,7 +43,9 @@
 }
 
 // losesAnswer decides at random whether an order gets no answer, and reports that. It
-// then schedules the order's late delivery and blocks until ctx ends.
+// then schedules the order's late delivery and blocks until ctx ends. A late stop reaches the
+// incarnation that then has the worker's ID, a late start as well once that is reachTime old: sooner,
+// nobody can prevent it.
 func (a *workerAccess) losesAnswer(ctx context.Context, w *Worker, deliver func()) bool {
 	if !a.site.chance(a.site.lostOrderShare(w.machine)) {
 		return false
@@ -58,8 +62,8 @@
 		return worker.StartReply{}, err
 	}
 	if a.losesAnswer(ctx, w, func() {
-		if w.alive() {
-			w.start(o, a.host.Name, true)
+		if last := a.site.worker(target.ID); last.alive() && (last == w || last.age() > reachTime) {
+			last.start(o, a.host.Name, true)
 		}
 	}) {
 		return worker.StartReply{}, verdict.MayHaveRunError(verdict.CauseUpstreamSilent, "the worker's answer is lost")
@@ -72,7 +76,7 @@
 	if err != nil {
 		return err
 	}
-	if a.losesAnswer(ctx, w, func() { w.stop(o) }) {
+	if a.losesAnswer(ctx, w, func() { a.site.worker(target.ID).stop(o) }) {
 		return verdict.MayHaveRunError(verdict.CauseUpstreamSilent, "the worker's answer is lost")
 	}
 	if !w.stop(o) {
