A host that stands again after a leave without an answer gets a new token

Callers could see: a task that runs twice (TWICE), on sites with strong and weak entry hosts, after a weak one resigned, the log did not answer, and it stood again within the membership's TTL. Sites of alike entry hosts never resign. Cause: the host forgot its generation with the leave, and joined as if it had left. If the leave was not carried out, the join continued the membership, and the new tenure began with the token of the former one. Workers refuse late orders of an earlier owner by its lower token; a new owner relies on that when it starts a task again whose recorded run a worker does not list. The class: a decision is carried out without asking whether what it follows has happened. Change: the leave is repeated until it has an answer before the host joins again. Why it works: a leave that the log has carried out ends the membership, and each change of the group has a new generation.

--- a/internal/coordination/owner/keeper.go
+++ b/internal/coordination/owner/keeper.go
@@ -187,6 +187,9 @@
 	if err := k.membershipWanted(); err != nil {
 		return false, err
 	}
+	if err := k.endFormerMembership(ctx); err != nil {
+		return false, err
+	}
 	k.mu.Lock()
 	ctx, cancel := context.WithTimeout(ctx, k.timeout())
 	k.failures++
@@ -353,6 +356,22 @@
 	return k.callLeave(ctx)
 }
 
+// endFormerMembership repeats the last leave if it has no answer. Otherwise a join could continue the
+// former membership, and its tenures would begin again with the same tokens, so that workers could
+// not tell their orders apart. The caller holds callLock.
+func (k *Keeper) endFormerMembership(ctx context.Context) error {
+	k.mu.Lock()
+	unconfirmed := k.leaveUnconfirmed
+	if unconfirmed {
+		k.failures++
+	}
+	k.mu.Unlock()
+	if !unconfirmed {
+		return nil
+	}
+	return k.callLeave(ctx)
+}
+
 // callLeave asks the group once to remove the member. The call lock is held.
 func (k *Keeper) callLeave(ctx context.Context) error {
 	k.mu.Lock()
--- a/internal/coordination/owner/leave_test.go
+++ b/internal/coordination/owner/leave_test.go
@@ -166,3 +166,65 @@
 		}
 	})
 }
+
+// tenureGroup has one member, whose partitions get a new generation with each leave that is carried
+// out. While mute is set, leaves get no answer and are not carried out.
+type tenureGroup struct {
+	mu         sync.Mutex
+	mute       bool
+	generation int64
+}
+
+func (g *tenureGroup) set(mute bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.mute = mute
+}
+
+func (g *tenureGroup) Join(context.Context, keyedlog.JoinRequest) (keyedlog.Assignment, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return keyedlog.Assignment{Generation: g.generation, Partitions: partitions(0)}, nil
+}
+
+func (g *tenureGroup) Leave(ctx context.Context, _, _ string) error {
+	g.mu.Lock()
+	mute := g.mute
+	if !mute {
+		g.generation++
+	}
+	g.mu.Unlock()
+	if mute {
+		<-ctx.Done()
+		return errors.New("no answer")
+	}
+	return nil
+}
+
+// TestNoTwoTenuresWithOneToken resigns without an answer and stands again at once: workers can't
+// refuse the late orders of the first tenure if the second has its token.
+func TestNoTwoTenuresWithOneToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, h := &tenureGroup{generation: 3}, &recordingHolder{}
+		k := New(g, h, h, time.Now, keyedlog.JoinRequest{Group: "g", Member: "m", TTL: 1200 * time.Millisecond})
+		k.Stand()
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			k.Run(ctx)
+		}()
+		time.Sleep(time.Second)
+		g.set(true)
+		if err := k.Resign(t.Context()); err == nil {
+			t.Fatal("the leave was answered")
+		}
+		k.Stand()
+		time.Sleep(time.Second)
+		g.set(false)
+		time.Sleep(2 * time.Second)
+		h.want(t, "acquire 0 with 3", "release 0", "acquire 0 with 4")
+		cancel()
+		<-done
+	})
+}
