A restarted worker's lease by the clock of its former incarnation counts in full

Callers could see: a task that runs twice (TWICE). Cause: a start or renewal that is sent before the owner knows of a restart carries a lease end on the clock of the former incarnation. That of the next one begins anew, so that the worker grants its longest lease, 10 s where 5 s were meant. If it then is silent, its runs were started elsewhere after 5 s. The class: what is known of a worker is kept across a change of what it is about. Evidence and test: TestLeaseOfTheFormerClockLastsLongestOnTheNextIncarnation failed before, in both ways to see the restart. Change: if a worker restarts while orders were sent to it as answering, its runs count as over only after the longest lease that it grants. Remaining: an order of that kind that is carried out seconds late.

--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -142,6 +142,13 @@
 func (p *Pool) restartSeen(h *host, now time.Time) {
 	p.events.Event("host-restart-seen", "host", h.report.ID, "pool", p.name, "before", h.incarnation, "runs", len(h.runs))
 	h.confirmed, h.restartSeenAt = false, now
+	p.expectLongestLease(h, now)
+}
+
+// expectLongestLease allows for orders with a lease on the clock of the former incarnation, which
+// the next one may have carried out.
+func (p *Pool) expectLongestLease(h *host, now time.Time) {
+	h.expiry = later(h.expiry, now.Add(p.limits.maxGrantedDuration()))
 }
 
 // newIncarnation resets what is known of a host whose worker reports a new incarnation, in an
@@ -154,6 +161,9 @@
 	if known {
 		p.hostCrashed(h, sent, now)
 	}
+	if known && h.confirmed {
+		p.expectLongestLease(h, now)
+	}
 	h.incarnation, h.incarnationAt = incarnation, now
 	h.clock, h.clockAt, h.leaseSent = 0, now, 0
 	h.received, h.acknowledged = 0, 0
--- a/internal/coordination/schedule/incarnation_test.go
+++ b/internal/coordination/schedule/incarnation_test.go
@@ -218,3 +218,40 @@
 		t.Errorf("%d crashes are counted against a task that runs", crashes)
 	}
 }
+
+// TestLeaseOfTheFormerClockLastsLongestOnTheNextIncarnation guards against a task that is started a
+// second time: the end of the lease that came with the start is far in the future on the clock of
+// the next incarnation, which shortens it to the longest that it grants.
+func TestLeaseOfTheFormerClockLastsLongestOnTheNextIncarnation(t *testing.T) {
+	for name, restart := range map[string]func(*harness, Start){
+		"seen by the clock": func(h *harness, s Start) {
+			h.pool.Started("h1", s.Order, h.now, worker.StartReply{Clock: time.Millisecond}, false, nil)
+		},
+		"seen by the list": func(h *harness, s Start) {
+			h.accept(s)
+			running := worker.ActiveRun{Task: s.Order.Task, Run: s.Order.Run, Percent: fullSpeed}
+			h.pool.ApplyRenewal("h1", h.now, h.now, worker.RenewalReply{Clock: time.Millisecond, Incarnation: 2, Running: []worker.ActiveRun{running}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, "h1", "h2")
+			h.advance(time.Second)
+			h.renew("h1", 1)
+			h.add(idA, testStep(1, 1000))
+			starts, _ := h.plan()
+			if starts[0].Target.ID != "h1" {
+				t.Fatalf("started on %s; want h1", starts[0].Target.ID)
+			}
+			h.advance(2 * time.Millisecond)
+			restart(h, starts[0])
+			h.pool.RenewalFailed("h1", h.now, errNoAnswer)
+			h.advance(9 * time.Second)
+			h.renew("h2", 1)
+			again, _ := h.plan()
+			h.wantStarts(again)
+			h.advance(2 * time.Second)
+			again, _ = h.plan()
+			h.wantStarts(again, idA+".0.0.0")
+		})
+	}
+}
--- a/internal/coordination/schedule/limits.go
+++ b/internal/coordination/schedule/limits.go
@@ -30,9 +30,13 @@
 
 // maxLeaseDuration returns how long, by the local clock, a lease can last on a host whose
 // clock runs as slowly as allowed.
-func (l *Limits) maxLeaseDuration() time.Duration {
-	longest := min(l.Lease, l.MaxLease)
-	return time.Duration(float64(longest)/(1-maxClockDrift)) + leaseSlack
+func (l *Limits) maxLeaseDuration() time.Duration { return leaseDuration(min(l.Lease, l.MaxLease)) }
+
+// maxGrantedDuration is the same for a lease whose end is any time on the host's clock.
+func (l *Limits) maxGrantedDuration() time.Duration { return leaseDuration(l.MaxLease) }
+
+func leaseDuration(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)/(1-maxClockDrift)) + leaseSlack
 }
 
 // maxReportAge returns the age up to which a host's report says that its long-running tasks
