--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -154,12 +154,6 @@
 	h.clock, h.clockAt = clock, now
 }
 
-// clockWentBack reports whether the answer to an order that was sent at sent has a clock reading
-// from before the order, so that it must be another incarnation's.
-func (h *host) clockWentBack(sent time.Time, clock time.Duration) bool {
-	return clock > 0 && clock < h.clock && !sent.Before(h.clockAt)
-}
-
 func (h *host) add(r *run) {
 	h.runs[r.key()] = r
 	h.used = h.used.Plus(r.needs)
--- /dev/null
+++ b/internal/coordination/schedule/incarnation.go
@@ -0,0 +1,71 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
+)
+
+// clockWentBack reports whether the answer to an order that was sent at sent has a clock reading
+// from before the order, so that it must be another incarnation's.
+func (h *host) clockWentBack(sent time.Time, clock time.Duration) bool {
+	return clock > 0 && clock < h.clock && !sent.Before(h.clockAt)
+}
+
+// restartSeen records that a host's worker has restarted, though no list of its next incarnation has
+// come yet. Its ends are numbered anew, so none may be acknowledged before.
+func (p *Pool) restartSeen(h *host, now time.Time) {
+	p.events.Event("host-restart-seen", "host", h.report.ID, "pool", p.name, "before", h.incarnation, "runs", len(h.runs))
+	h.confirmed, h.restartSeenAt = false, now
+	p.expectLongestLease(h, now)
+}
+
+// expectLongestLease allows for orders with a lease on the clock of the former incarnation, which
+// the next one may have carried out.
+func (p *Pool) expectLongestLease(h *host, now time.Time) {
+	h.expiry = later(h.expiry, now.Add(p.limits.maxGrantedDuration()))
+}
+
+// newIncarnation resets what is known of a host whose worker reports a new incarnation, in an
+// answer that was requested at sent. A restarted worker has none of its earlier runs.
+func (p *Pool) newIncarnation(h *host, incarnation worker.Incarnation, sent, now time.Time) {
+	if h.incarnation != 0 {
+		p.events.Event("host-restarted", "host", h.report.ID, "pool", p.name, "life", incarnation, "before", h.incarnation, "runs", len(h.runs))
+	}
+	known := h.incarnation != 0
+	if known {
+		p.hostCrashed(h, sent, now)
+	}
+	if known && h.confirmed {
+		p.expectLongestLease(h, now)
+	}
+	h.incarnation, h.incarnationAt = incarnation, now
+	h.clock, h.clockAt, h.leaseSent = 0, now, 0
+	h.received, h.acknowledged = 0, 0
+	h.health = health{}
+	clear(h.unknownRuns)
+	h.unanswered.restarted(now)
+	for _, r := range h.runs {
+		switch {
+		case !known || r.unsent:
+			// An unsent run was on no incarnation; its record or its turn at the host releases it.
+		case r.state == stateSending || r.state == stateUnknown:
+			// The start may have reached the new incarnation.
+			r.state = stateUnknown
+		case r.state == stateStopping && r.mayBeAbsent():
+			// So it may, and the new incarnation knows nothing of the stop.
+			r.stopSentAt, r.stopAckedAt = time.Time{}, time.Time{}
+			p.stopGangOf(r, "gang-lapsed")
+		case r.mayBeOnNext(sent):
+			r.onNext = false
+		default:
+			p.release(r, now, worker.OutcomeLeaseExpired)
+		}
+	}
+}
+
+// mayBeOnNext reports whether the next incarnation of the worker, whose first list was requested at
+// sent, may have accepted the run. If it has not, a later list shows that.
+func (r *run) mayBeOnNext(sent time.Time) bool {
+	return r.onNext || (!r.mayBeAbsent() && r.startedAt.After(sent))
+}
