--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -72,7 +72,7 @@
 		p.setFenced(id)
 		return
 	}
-	if reply.Incarnation == h.incarnation && reply.Clock < h.clock {
+	if reply.Incarnation == h.incarnation && (reply.Clock < h.clock || sent.Before(h.restartSeenAt)) {
 		// A later reply has been applied already, so these lists may be out of date.
 		return
 	}
@@ -81,7 +81,7 @@
 			// The answer is from an earlier incarnation. If it is from a later one, so is the next.
 			return
 		}
-		p.newIncarnation(h, reply.Incarnation, now)
+		p.newIncarnation(h, reply.Incarnation, sent, now)
 	}
 	if !h.confirmed {
 		p.events.Event("host-answers", "host", id, "pool", p.name, "life", reply.Incarnation, "running", len(reply.Running), "ended", len(reply.Ended))
@@ -137,41 +137,13 @@
 	p.fenced = true
 }
 
-// newIncarnation resets what is known of a host whose worker reports a new incarnation. A
-// restarted worker has none of its earlier runs.
-func (p *Pool) newIncarnation(h *host, incarnation worker.Incarnation, now time.Time) {
-	if h.incarnation != 0 {
-		p.events.Event("host-restarted", "host", h.report.ID, "pool", p.name, "life", incarnation, "before", h.incarnation, "runs", len(h.runs))
-	}
-	known := h.incarnation != 0
-	if known {
-		p.hostCrashed(h, now)
-	}
-	h.incarnation, h.incarnationAt = incarnation, now
-	h.clock, h.clockAt, h.leaseSent = 0, now, 0
-	h.received, h.acknowledged = 0, 0
-	h.health = health{}
-	clear(h.unknownRuns)
-	for _, r := range h.runs {
-		// An unsent run was on no incarnation; its record or its turn at the host releases it.
-		if !known || r.unsent {
-			continue
-		}
-		if r.state == stateSending || r.state == stateUnknown {
-			// The start may have reached the new incarnation.
-			r.state = stateUnknown
-			continue
-		}
-		p.release(r, now, worker.OutcomeLeaseExpired)
-	}
-}
-
 // applyActiveRuns applies a worker's list of running runs, which was requested at sent.
 func (p *Pool) applyActiveRuns(h *host, rows []worker.ActiveRun, sent, now time.Time) {
 	// Until then the list may show a run that a former owner has stopped.
 	formerStops := h.contactedAt.Add(p.limits.StopTime)
 	for n := range rows {
 		row := &rows[n]
+		delete(h.unanswered, runKey{row.Task, row.Run})
 		r, ok := h.runs[runKey{row.Task, row.Run}]
 		if !ok {
 			r = p.adopt(h, row, now)
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -180,9 +180,10 @@
 			p.events.Event("run-stop", "task", r.name, "run", r.number, "host", id, "reason", r.stopReason)
 			r.stopQueued = true
 			orders.Stops = append(orders.Stops, Stop{
-				Target: target, Order: worker.StopOrder{Task: r.name, Run: r.number, Token: p.token}, MayBeAbsent: r.startedAt.IsZero() || r.unconfirmed,
+				Target: target, Order: worker.StopOrder{Task: r.name, Run: r.number, Token: p.token}, MayBeAbsent: r.mayBeAbsent(),
 			})
 		}
+		p.stopUnanswered(h, now, orders)
 		for key, since := range h.unknownRuns {
 			if now.Sub(since) < unknownRunTimeout {
 				continue
@@ -194,16 +195,22 @@
 	}
 }
 
-// Stopped applies the answer to a stop.
-func (p *Pool) Stopped(id worker.ID, order worker.StopOrder, now time.Time, err error) {
+// mayBeAbsent reports whether the host may not have begun a run whose start was sent.
+func (r *run) mayBeAbsent() bool { return r.startedAt.IsZero() || r.unconfirmed }
+
+// Stopped applies the answer to a stop that was sent at sent. The answer of an earlier incarnation
+// does not bind the present one.
+func (p *Pool) Stopped(id worker.ID, order worker.StopOrder, sent, now time.Time, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h, ok := p.hosts[id]
-	if !ok || err != nil {
+	if !ok || err != nil || sent.Before(h.incarnationAt) {
 		return
 	}
+	key := runKey{order.Task, order.Run}
+	h.unanswered.stopped(key)
 	// Keep the time of the first answer: a list requested after it reflects the stop.
-	if r, ok := h.runs[runKey{order.Task, order.Run}]; ok && r.stopAckedAt.IsZero() {
+	if r, ok := h.runs[key]; ok && r.stopAckedAt.IsZero() {
 		r.stopAckedAt = now
 	}
 }
@@ -213,12 +220,16 @@
 func (p *Pool) Started(id worker.ID, order worker.StartOrder, now time.Time, reply worker.StartReply, notSent bool, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	key := runKey{order.Task, order.Run}
+	if err == nil || notSent {
+		p.startAnswered(id, key)
+	}
 	h, ok := p.hosts[id]
 	if !ok {
 		return
 	}
 	h.startsInFlight--
-	r, ok := h.runs[runKey{order.Task, order.Run}]
+	r, ok := h.runs[key]
 	if !ok {
 		return
 	}
@@ -229,7 +240,12 @@
 		}
 		return
 	}
-	if err == nil && !r.sentAt.Before(h.incarnationAt) {
+	switch {
+	case err != nil || r.sentAt.Before(h.incarnationAt):
+	case h.clockWentBack(r.sentAt, reply.Clock):
+		r.onNext = true
+		p.restartSeen(h, now)
+	default:
 		h.updateClock(now, reply.Clock)
 	}
 	if err == nil && reply.Refusal == worker.Accepted {
