A crash is counted also if the leases of its host expire before it is known

Cause: a silent host is known to have crashed once the list of machines shows it or its next incarnation answers. If its leases expire before, its runs were released, and what told later found none to blame. Copies of a speculative task start on the way, and went by no count at all. The class: evidence is dropped with the resource that it hangs on.

Change: the starting runs of a silent host are kept when its leases expire (crash-unknown), and its worker's end is still asked for. Their tasks go on trial. A task with four crashes, known and unknown, waits until a host answers, the list says more, or a run of it has survived. What turns out as a crash counts as before; a host that answers again has not crashed.

Why it works: no more than four hosts that may have crashed can have been under a task when it is started again, and only what has certainly crashed is held against its job.

What remains: the next owner does not learn which runs have lapsed.

--- a/internal/coordination/schedule/copies.go
+++ b/internal/coordination/schedule/copies.go
@@ -24,7 +24,7 @@
 }
 
 func (p *Pool) startCopy(t *task, now time.Time, orders *Orders) {
-	if len(t.runs) != 1 || t.runs[0].state != stateRunning || t.done() || t.suspected() {
+	if len(t.runs) != 1 || t.runs[0].state != stateRunning || t.done() || t.suspected() || t.heldBack() {
 		return
 	}
 	first := t.runs[0]
--- a/internal/coordination/schedule/crash.go
+++ b/internal/coordination/schedule/crash.go
@@ -44,10 +44,15 @@
 // lostRuns returns the runs of tasks that are still needed: those that were starting and those
 // that the host has borne for a while.
 func (h *host) lostRuns() (starting, working []*run) {
+	for _, r := range h.lapsed {
+		if r.needed() {
+			starting = append(starting, r)
+		}
+	}
 	for _, r := range h.runs {
 		switch {
-		case r.unsent || r.task.step.job.Ended() || r.task.done():
-		case r.workedFor() < r.task.trialTime():
+		case !r.needed():
+		case r.starting():
 			starting = append(starting, r)
 		default:
 			working = append(working, r)
@@ -56,6 +61,12 @@
 	return starting, working
 }
 
+// needed reports whether the loss of a run concerns a task that is still needed.
+func (r *run) needed() bool { return !r.unsent && !r.task.step.job.Ended() && !r.task.done() }
+
+// starting reports whether a run may be the cause if its host crashes now.
+func (r *run) starting() bool { return r.workedFor() < r.task.trialTime() }
+
 // blameStarting counts a crash against the runs that were starting, and reports whether one of
 // them was the cause.
 func (p *Pool) blameStarting(starting []*run, now time.Time) bool {
--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -86,6 +86,7 @@
 	if !h.confirmed {
 		p.events.Event("host-answers", "host", id, "pool", p.name, "life", reply.Incarnation, "running", len(reply.Running), "ended", len(reply.Ended))
 	}
+	h.forgetLapsed()
 	p.settle(h, now)
 	if h.contactedAt.IsZero() {
 		// The worker now refuses earlier owners, so the last lease that can still be in
--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -67,6 +67,9 @@
 	trial *run
 	// trialQueried is the last trial after which the host was asked what it runs.
 	trialQueried *run
+	// lapsed holds the runs that were starting when the worker fell silent, from the expiry of
+	// their leases until it is known whether the worker has crashed.
+	lapsed []*run
 }
 
 type runKey struct {
--- a/internal/coordination/schedule/load.go
+++ b/internal/coordination/schedule/load.go
@@ -108,7 +108,8 @@
 	load := HostLoad{
 		Unresponsive: !h.confirmed, LastSeenAge: now.Sub(h.lastSeen()), LastSeen: h.lastSeen(), Use: h.use, Vacant: h.cordoned() && h.vacant(),
 		// Only long-running tasks have room reserved, and they are on their way.
-		Runs: len(h.runs) + len(h.reserved), LongRunning: len(h.reserved),
+		// Ended runs count until it is known whether the worker has crashed.
+		Runs: len(h.runs) + len(h.reserved) + len(h.lapsed), LongRunning: len(h.reserved),
 	}
 	for _, r := range h.runs {
 		def := r.task.step.def
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -73,6 +73,7 @@
 		if h.confirmed {
 			continue
 		}
+		p.keepLapsed(h, now)
 		p.releaseAll(h, now)
 	}
 }
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -241,7 +241,7 @@
 			h.listed = false
 			p.events.Event("host-unlisted", "host", id, "pool", p.name, "runs", len(h.runs))
 		}
-		if len(h.runs) == 0 && !now.Before(h.expiry) {
+		if len(h.runs) == 0 && len(h.lapsed) == 0 && !now.Before(h.expiry) {
 			delete(p.hosts, id)
 			delete(p.unacknowledged, id)
 		}
@@ -289,6 +289,7 @@
 	p.events.Event("host-gone", "host", id, "pool", p.name, "runs", len(h.runs), "heard", h.heardAt)
 	h.expiry = now
 	p.hostCrashed(h, now)
+	h.forgetLapsed()
 	p.releaseAll(h, now)
 }
 
--- a/internal/coordination/schedule/suspects.go
+++ b/internal/coordination/schedule/suspects.go
@@ -51,6 +51,9 @@
 			t.suspectedAt = time.Time{}
 			p.events.Event("task-cleared", "task", t.name(), "crashes", t.crashes())
 		}
+		if t.lapsedRuns > 0 && worked >= startupTime {
+			p.clearLapsed(t)
+		}
 		if worked >= soundRunTime {
 			p.clearCrashes(t)
 			delete(p.suspects, t)
--- a/internal/coordination/schedule/task.go
+++ b/internal/coordination/schedule/task.go
@@ -56,6 +56,8 @@
 	suspectedAt time.Time
 	// weakCrashes counts those of the task's crashes that are weak evidence.
 	weakCrashes int
+	// lapsedRuns counts the runs under which a host may have crashed, see host.lapsed.
+	lapsedRuns int
 	// downSince is when the last run of a long-running task was released.
 	downSince time.Time
 }
@@ -145,7 +147,7 @@
 
 // startable reports whether the task needs a run and may be started now.
 func (t *task) startable(now time.Time) bool {
-	if t.done() || now.Before(t.notBefore) {
+	if t.done() || now.Before(t.notBefore) || t.heldBack() {
 		return false
 	}
 	return len(t.runs) == 0 || t.stranded(now)
--- a/internal/emulator/site/crashes_test.go
+++ b/internal/emulator/site/crashes_test.go
@@ -29,6 +29,31 @@
 	})
 }
 
+// TestCrashesDuringAnOutageOfTheMachineService: a crashed worker can't be told from a silent one
+// while machines can't be listed.
+func TestCrashesDuringAnOutageOfTheMachineService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 4)
+		f.site.SetMachineServiceDown(true)
+		var deadly []job.ID
+		for range 3 {
+			deadly = append(deadly, f.submit("tiles", []job.Step{newStep(1, 1000, 300*time.Millisecond)}, func(_ *job.Job, actual []taskBehaviour) {
+				actual[0].deadly = map[int]bool{0: true}
+			}))
+			time.Sleep(time.Second)
+		}
+		time.Sleep(time.Minute)
+		f.site.SetMachineServiceDown(false)
+		time.Sleep(10 * time.Second)
+		for _, id := range deadly {
+			if state := f.site.JobState("tiles", id); state != job.Failed {
+				t.Errorf("job %s is %q; want %s", id, state, job.Failed)
+			}
+		}
+		f.finish()
+	})
+}
+
 // TestCrashesAreBlamedOnTasks: workers crash by themselves, under tasks that did not cause it.
 func TestCrashesAreBlamedOnTasks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/emulator/site/faults.go
+++ b/internal/emulator/site/faults.go
@@ -114,3 +114,10 @@
 		g.rebalance()
 	}
 }
+
+// SetMachineServiceDown sets whether the machine service leaves all calls unanswered.
+func (s *Site) SetMachineServiceDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.machineServiceDown = down
+}
--- a/internal/emulator/site/machines.go
+++ b/internal/emulator/site/machines.go
@@ -42,7 +42,7 @@
 
 // simulateCall waits for the latency of a call; an error means that nothing was done.
 func (a *machineAccess) simulateCall(ctx context.Context) error {
-	if a.site.storeFault(a.host.Name).Unresponsive {
+	if a.site.storeFault(a.host.Name).Unresponsive || a.site.isMachineServiceDown() {
 		<-ctx.Done()
 		return verdict.MayHaveRunError(verdict.CauseUpstreamSilent, "the machine service does not answer")
 	}
@@ -52,6 +52,12 @@
 	return nil
 }
 
+func (s *Site) isMachineServiceDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.machineServiceDown
+}
+
 // List returns all machines.
 func (a *machineAccess) List(ctx context.Context) ([]machine.Machine, error) {
 	if err := a.simulateCall(ctx); err != nil {
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -66,6 +66,8 @@
 	lostOrdersOf map[string]float64
 	// isolated holds the data centres that are partitioned from the others.
 	isolated map[string]bool
+	// machineServiceDown means that the machine service does not answer.
+	machineServiceDown bool
 }
 
 // EntryHost is a running entry host with its name, data centre and peer address.
