Whether workers check their capacity is not assumed before it is known

Callers would see: nothing yet; found by review, by reading. A job stays in the pool that its queue had when it was accepted. An owner whose configuration no longer has that pool takes its workers for ones that refuse what doesn't fit, and starts tasks by reports that may be out of date: one that doesn't check is started over its capacity after that has shrunk (LIMIT). The class: a missing value is used as a permission.

Evidence and test: TestNoStartByOutdatedReportsInAnUnconfiguredPool failed before with a start.

Change: a pool's workers count as not checking until the configuration says that they do. The harness and the runner's test set that now, as for a configured pool; they check the same as before.

Why it works: a pool that is configured is told before it has hosts, so only others wait for current reports.

--- a/internal/coordination/schedule/capacity_test.go
+++ b/internal/coordination/schedule/capacity_test.go
@@ -254,3 +254,17 @@
 	starts, _ = h.plan()
 	h.wantStarts(starts, idA+".0.0.0")
 }
+
+// TestNoStartByOutdatedReportsInAnUnconfiguredPool: whether its workers check their capacity is
+// not known.
+func TestNoStartByOutdatedReportsInAnUnconfiguredPool(t *testing.T) {
+	h := newUnconfiguredHarness(t, "h1")
+	h.pool.reports = &outdated{until: h.now.Add(time.Minute)}
+	h.add(idA, testStep(1, 1000))
+	none, _ := h.plan()
+	h.wantStarts(none)
+	h.advance(time.Minute)
+	h.renew("h1", 1)
+	starts, _ := h.plan()
+	h.wantStarts(starts, idA+".0.0.0")
+}
--- a/internal/coordination/schedule/harness_test.go
+++ b/internal/coordination/schedule/harness_test.go
@@ -29,6 +29,14 @@
 }
 
 func newHarness(t *testing.T, hosts ...worker.ID) *harness {
+	t.Helper()
+	h := newUnconfiguredHarness(t, hosts...)
+	h.pool.SetChecksCapacity(true)
+	return h
+}
+
+// newUnconfiguredHarness creates a pool that is not in the configuration.
+func newUnconfiguredHarness(t *testing.T, hosts ...worker.ID) *harness {
 	t.Helper()
 	limits := Limits{
 		Lease: 5 * time.Second, MaxLease: 10 * time.Second, MaxUnconfirmed: 6 * time.Second, RenewalWait: time.Second,
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -43,8 +43,9 @@
 	// unresponsive host must have ended: MaxUnconfirmed, within which that owner stops acting,
 	// plus the longest lease after the tenure begins.
 	inheritedExpiry time.Time
-	checksCapacity  bool
-	jobs            map[job.ID]*jobEntry
+	// checksCapacity is false also while it is not known.
+	checksCapacity bool
+	jobs           map[job.ID]*jobEntry
 	// open holds the jobs that have not ended; ended ones are removed when it is walked. dirty
 	// holds the jobs with changes that are not recorded, unacknowledged the hosts with ended
 	// runs that are not.
@@ -69,7 +70,6 @@
 	p := &Pool{
 		name: name, limits: limits, token: token, events: events, tenureStart: now,
 		inheritedExpiry: now.Add(limits.MaxUnconfirmed + limits.maxLeaseDuration()),
-		checksCapacity:  true,
 		jobs:            map[job.ID]*jobEntry{}, hosts: map[worker.ID]*host{},
 		open: map[job.ID]*jobEntry{}, dirty: map[job.ID]*jobEntry{}, unacknowledged: map[worker.ID]*host{},
 		reservations: map[*task]reservation{}, suspects: map[*task]struct{}{},
--- a/internal/jobhost/pool_runner_test.go
+++ b/internal/jobhost/pool_runner_test.go
@@ -33,6 +33,7 @@
 	h := &JobHost{settings: Settings{Limits: limits}, events: noEvents{}, now: func() time.Time { return r.now }}
 	h.keeper = owner.New(nil, nil, noEvents{}, h.now, keyedlog.JoinRequest{})
 	r.runner = &poolRunner{host: h, pool: schedule.New("maps", 7, limits, r.now, noEvents{})}
+	r.runner.pool.SetChecksCapacity(true)
 	r.runner.pool.SetHosts([]worker.Report{{
 		ID: testHost, Pool: "maps", Address: netip.MustParseAddrPort("10.0.0.1:80"), Capacity: worker.Resources{CPU: 16000, MemoryMB: 64000},
 	}}, r.now)
