--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -43,8 +43,9 @@
 	// unresponsive host must have ended: MaxUnconfirmed, within which that owner stops acting,
 	// plus the longest lease after the tenure begins.
 	inheritedExpiry time.Time
-	checksCapacity  bool
-	jobs            map[job.ID]*jobEntry
+	// checksCapacity is false also while it is not known.
+	checksCapacity bool
+	jobs           map[job.ID]*jobEntry
 	// open holds the jobs that have not ended; ended ones are removed when it is walked. dirty
 	// holds the jobs with changes that are not recorded, unacknowledged the hosts with ended
 	// runs that are not.
@@ -71,7 +72,6 @@
 	p := &Pool{
 		name: name, limits: limits, token: token, events: events, tenureStart: now,
 		inheritedExpiry: now.Add(limits.MaxUnconfirmed + limits.maxLeaseDuration()),
-		checksCapacity:  true,
 		jobs:            map[job.ID]*jobEntry{}, hosts: map[worker.ID]*host{},
 		open: map[job.ID]*jobEntry{}, dirty: map[job.ID]*jobEntry{}, unacknowledged: map[worker.ID]*host{},
 		reservations: map[*task]reservation{}, suspects: map[*task]struct{}{},
@@ -241,7 +241,7 @@
 			h.listed = false
 			p.events.Event("host-unlisted", "host", id, "pool", p.name, "runs", len(h.runs))
 		}
-		if len(h.runs) == 0 && !now.Before(h.expiry) {
+		if len(h.runs) == 0 && len(h.lapsed) == 0 && !now.Before(h.expiry) {
 			delete(p.hosts, id)
 			delete(p.unacknowledged, id)
 			p.keepUnanswered(h, now)
@@ -291,6 +291,7 @@
 	p.events.Event("host-gone", "host", id, "pool", p.name, "runs", len(h.runs), "heard", h.heardAt)
 	h.expiry = now
 	p.hostCrashed(h, now, now)
+	h.forgetLapsed()
 	p.releaseAll(h, now)
 }
 
