A crash that its owner could not record is counted by the next one

The host was back under its ID with a new incarnation when it first answered the next owner, which took the recorded run for one that had never begun there and counted nothing (run-lapsed without host-crashed). A host that is back under a new ID was counted. The class: a fact that only its first observer could know, because the record leaves out what another one needs to find it.

Change: a recorded placement names the incarnation of its host's worker. If another incarnation answers the new owner, the host has restarted under its inherited runs and is treated as one that restarts in the tenure. Such crashes are weak evidence, as under all runs of earlier owners: they count for the bound of four only.

Test: TestUnrecordedCrashIsForgottenWithTheOwner failed before: the job was running after four crashes. Why it works: the placement is recorded before the start is sent, so that each start has left the incarnation that it went to. Remaining: crashes of cordoned hosts, and of hosts whose end nobody tells before their leases are over, are not counted.

--- /dev/null
+++ b/internal/coordination/schedule/inherit_test.go
@@ -0,0 +1,55 @@
+package schedule
+
+import (
+	"testing"
+
+	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
+	"github.com/hornbeammast/hornbeammast/internal/state/jobs"
+)
+
+// replaceOwner makes the next owner's pool from the records of the present one.
+func (h *harness) replaceOwner(id job.ID, record []byte) {
+	h.Helper()
+	next := newHarness(h.T)
+	next.advance(h.now.Sub(next.now))
+	before := h.pool.jobs[id].Job.Job
+	*h = *next
+	inherited := jobs.New(before)
+	if err := inherited.ApplyProgress(record); err != nil {
+		h.Fatal(err)
+	}
+	h.pool.AddJob(inherited)
+}
+
+// progress records and returns the starts that go out and a job's record.
+func (h *harness) progress(id job.ID) ([]Start, []byte) {
+	h.Helper()
+	h.pool.Plan(h.now)
+	u, err := h.pool.TakeUnrecorded()
+	if err != nil {
+		h.Fatal(err)
+	}
+	var sent []Start
+	for _, s := range h.pool.Recorded(u, h.now) {
+		if order, ok := h.pool.BeginStart(s.Target.ID, s.Order, h.now); ok {
+			sent = append(sent, Start{Target: s.Target, Order: order})
+		}
+	}
+	return sent, u.Progress[id]
+}
+
+// TestUnrecordedCrashIsForgottenWithTheOwner: an owner was replaced before it could record a crash
+// of a host that is back under its ID.
+func TestUnrecordedCrashIsForgottenWithTheOwner(t *testing.T) {
+	h := newHarness(t, "h1")
+	h.add(idA, testStep(1, 1000))
+	for n := range maxCrashes {
+		starts, record := h.progress(idA)
+		h.wantStarts(starts, idA+".0.0.0")
+		h.replaceOwner(idA, record)
+		h.list("h1")
+		h.renew("h1", worker.Incarnation(2+n))
+	}
+	h.wantState(idA, job.Failed)
+}
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -134,6 +134,10 @@
 	if t == nil || e.Ended() {
 		return
 	}
+	if h.contactedAt.IsZero() {
+		// If another incarnation answers, this one has ended with the run.
+		h.incarnation = max(h.incarnation, placed.Incarnation)
+	}
 	p.attach(&run{
 		task: t, name: placed.Task, number: placed.Run, host: h, needs: t.step.def.Reserved(), state: stateInherited,
 		adopted: true, speed: fullSpeed, speedSent: fullSpeed,
--- a/internal/coordination/schedule/record.go
+++ b/internal/coordination/schedule/record.go
@@ -63,7 +63,7 @@
 		for _, t := range s.tasks {
 			for _, r := range t.runs {
 				if !e.Ended() {
-					placed = append(placed, jobs.Placement{Task: r.name, Run: r.number, Host: r.host.report.ID})
+					placed = append(placed, jobs.Placement{Task: r.name, Run: r.number, Host: r.host.report.ID, Incarnation: r.host.incarnation})
 				}
 				if r.unsent && !r.queued {
 					pendingStarts = append(pendingStarts, r)
--- a/internal/state/jobs/job.go
+++ b/internal/state/jobs/job.go
@@ -30,6 +30,8 @@
 	Task worker.TaskName
 	Run  int64
 	Host worker.ID
+	// Incarnation is that of the host's worker, 0 if it was not known.
+	Incarnation worker.Incarnation
 }
 
 // Occurrence is the progress of one pass through a job's steps.
--- a/internal/state/jobs/progress.go
+++ b/internal/state/jobs/progress.go
@@ -30,7 +30,7 @@
 	for _, p := range j.Placements {
 		m.Placements = append(m.Placements, &wire.Placement{
 			Occurrence: int32(p.Task.Occurrence), Step: int32(p.Task.Step), Index: int32(p.Task.Index), //nolint:gosec // Bounded by job.Job.Validate.
-			Run: p.Run, Host: string(p.Host),
+			Run: p.Run, Host: string(p.Host), Incarnation: int64(p.Incarnation),
 		})
 	}
 	data, err := proto.Marshal(m)
@@ -97,7 +97,9 @@
 		if !j.HasTask(name.Occurrence, name.Step, name.Index) {
 			return errors.Newf("placement of task %s, which does not exist in the job", name)
 		}
-		j.Placements = append(j.Placements, Placement{Task: name, Run: p.GetRun(), Host: worker.ID(p.GetHost())})
+		j.Placements = append(j.Placements, Placement{
+			Task: name, Run: p.GetRun(), Host: worker.ID(p.GetHost()), Incarnation: worker.Incarnation(p.GetIncarnation()),
+		})
 	}
 	return nil
 }
