The runs of a given-up job are stopped once that is recorded

Cause: a job that was given up, or failed too often, counted as ended as soon as it was decided. A cancel takes effect once it is recorded; this did not. The class: a decision is acted on before it lasts.

Change: what a failed job still runs is stopped, or not adopted, once the state is recorded. Nothing of it is started or moved meanwhile, as before. A done job has nothing left to run but copies of done tasks, which are stopped as before.

Test: TestRunsOfAGivenUpJobAreStoppedUnrecorded failed before: one run was stopped before the record.

--- a/internal/coordination/schedule/cordon.go
+++ b/internal/coordination/schedule/cordon.go
@@ -85,7 +85,7 @@
 
 func (p *Pool) evacuateHost(h *host, now time.Time) {
 	for _, r := range h.runs {
-		if r.state != stateRunning {
+		if r.state != stateRunning || r.task.step.job.Ended() {
 			continue
 		}
 		if r.task.step.def.LongRunning {
--- a/internal/coordination/schedule/crash_test.go
+++ b/internal/coordination/schedule/crash_test.go
@@ -255,3 +255,31 @@
 		t.Errorf("%d tasks are suspected; want none", n)
 	}
 }
+
+// TestRunsOfAGivenUpJobAreStoppedUnrecorded: a later owner, which does not know that the job was
+// given up, would have to start them again.
+func TestRunsOfAGivenUpJobAreStoppedUnrecorded(t *testing.T) {
+	h := newHarness(t, "h1", "h2", "h3")
+	serving := testStep(2, 1000)
+	serving.LongRunning, serving.MaxPerHost, serving.MaxUnavailable = true, 1, 1
+	h.add(idA, serving)
+	starts, _ := h.plan()
+	sortStarts(starts)
+	h.wantStarts(starts, idA+".0.0.0", idA+".0.0.1")
+	h.accept(starts...)
+	sound := starts[0]
+	h.survive(sound.Target.ID, 1, sound)
+	h.crash(starts[1].Target.ID)
+	again, _ := h.plan()
+	h.wantStarts(again, idA+".0.0.1")
+	h.accept(again...)
+	h.crash(again[0].Target.ID)
+	if n := len(h.pool.Plan(h.now).Stops); n != 0 {
+		t.Errorf("%d runs are stopped before the state is recorded; want none", n)
+	}
+	h.wantState(idA, job.Failed)
+	stops := h.pool.Plan(h.now).Stops
+	if len(stops) != 1 || stops[0].Order.Task != sound.Order.Task {
+		t.Errorf("stops %v; want one of %s", stops, sound.Order.Task)
+	}
+}
--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -235,7 +235,7 @@
 	t := r.task
 	switch {
 	case !r.adopted:
-	case t.step.job.Ended() || t.done():
+	case t.step.job.endRecorded() || t.done():
 		p.stop(r, "ended")
 	case t.step.def.Gang && t.step.gangRun > r.number:
 		p.stop(r, "gang-replaced")
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -87,14 +87,14 @@
 	clear(h.unknownRuns)
 }
 
-// stopUnneeded stops runs whose job or task has ended, whose start stayed without an
-// answer, or that hang.
+// stopUnneeded stops runs whose job has ended for later owners as well, whose task is done,
+// whose start stayed without an answer, or that hang.
 func (p *Pool) stopUnneeded(now time.Time) {
 	for _, h := range p.hosts {
 		for _, r := range h.runs {
 			switch {
 			case r.state == stateStopping || r.state == stateInherited:
-			case r.task.step.job.Ended():
+			case r.task.step.job.endRecorded():
 				p.stop(r, "job-ended")
 			case r.task.done():
 				p.stop(r, "task-done")
--- a/internal/coordination/schedule/task.go
+++ b/internal/coordination/schedule/task.go
@@ -26,6 +26,9 @@
 	liveRuns int
 }
 
+// endRecorded reports whether the end of the job is recorded, so that later owners know it.
+func (e *jobEntry) endRecorded() bool { return e.recordedState != "" }
+
 type stepKey struct{ occurrence, number int }
 
 // step is a step of one occurrence, with its tasks and their runs.
