A run's age is known to later owners

Callers would see: a sound job given up.

Cause, in four traces: of the four crashes that were counted against the task, one came after a run that had worked for 2.5, 5.2, 6.2 and 9.5 s by the lines of all owners. Its owner had been replaced meanwhile: the new one counted the age of the run from the first list that it read, and that the run had cleared its task was not recorded or not yet due. The class: the time at which something became known is used as the time at which it happened.

Change: a recorded placement has the reading of the host's clock when it was made. An inherited run that the host lists is as old as that clock has gone on since; the clock is one incarnation's, so that clocks of entry hosts that differ or jump don't matter. A run that no list has shown, or whose placement has no clock, is treated as before.

Test: TestSoundRunIsBlamedAfterItsOwnersEnd failed before: the job was failed after four runs of two seconds. Its second case, runs of one second, is given up before and after. Why it works: two seconds of work clear a task whoever sees them. Remaining: a start that waited two seconds for its turn, and is listed in the few milliseconds before it crashes its host by an owner that has just followed, counts as sound work once.

--- a/internal/coordination/schedule/crash.go
+++ b/internal/coordination/schedule/crash.go
@@ -105,6 +105,14 @@
 	return startupTime
 }
 
+// age returns how long ago a run was placed, by its host's clock; 0 if that is not known.
+func (r *run) age() time.Duration {
+	if r.placedAt == 0 {
+		return 0
+	}
+	return max(0, r.host.clock-r.placedAt)
+}
+
 // workedFor returns the time for which the host is known to have borne a run. A run of an
 // earlier owner that the host has not reported may have been started just before the crash.
 func (r *run) workedFor() time.Duration {
--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -153,6 +153,7 @@
 	h.health = health{}
 	clear(h.unknownRuns)
 	for _, r := range h.runs {
+		r.placedAt = 0
 		// An unsent run was on no incarnation; its record or its turn at the host releases it.
 		if !known || r.unsent {
 			continue
@@ -180,8 +181,7 @@
 			continue
 		}
 		if r.state == stateInherited {
-			// When it was started is not recorded; how long it has worked counts from now.
-			r.sentAt = now
+			r.sentAt = now.Add(-r.age())
 		}
 		if r.state == stateSending || r.state == stateUnknown || r.state == stateInherited {
 			r.state, r.startedAt, r.unconfirmed, r.task.step.job.begun = stateRunning, now, false, true
@@ -217,7 +217,7 @@
 	delete(h.unknownRuns, key)
 	r := &run{
 		task: t, name: row.Task, number: row.Run, host: h, needs: t.step.def.Reserved(), state: stateRunning, adopted: true,
-		sentAt: now, startedAt: now, speed: row.Percent, speedSent: row.Percent,
+		sentAt: now, startedAt: now, placedAt: h.clock, speed: row.Percent, speedSent: row.Percent,
 	}
 	p.attach(r)
 	e.started, e.begun = true, true
--- a/internal/coordination/schedule/inherit_test.go
+++ b/internal/coordination/schedule/inherit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
@@ -53,3 +54,26 @@
 	}
 	h.wantState(idA, job.Failed)
 }
+
+// TestSoundRunIsBlamedAfterItsOwnersEnd: a run that has worked well for long is lost soon after a
+// change of owner, for as many times as are enough to give up a task.
+func TestSoundRunIsBlamedAfterItsOwnersEnd(t *testing.T) {
+	for _, test := range []struct {
+		worked time.Duration
+		want   job.State
+	}{{soundRunTime, job.Running}, {soundRunTime / 2, job.Failed}} {
+		h := newHarness(t, "h1")
+		h.add(idA, testStep(1, 1000))
+		for n := range worker.Incarnation(maxCrashes) {
+			starts, record := h.progress(idA)
+			h.wantStarts(starts, idA+".0.0.0")
+			h.advance(test.worked)
+			h.replaceOwner(idA, record)
+			h.list("h1")
+			h.renewRunning("h1", 1+n, []worker.ActiveRun{{Task: starts[0].Order.Task, Run: starts[0].Order.Run, Percent: 100, Usage: 1}})
+			h.crash("h1")
+			h.renew("h1", 2+n)
+		}
+		h.wantState(idA, test.want)
+	}
+}
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -140,7 +140,7 @@
 	}
 	p.attach(&run{
 		task: t, name: placed.Task, number: placed.Run, host: h, needs: t.step.def.Reserved(), state: stateInherited,
-		adopted: true, speed: fullSpeed, speedSent: fullSpeed,
+		adopted: true, speed: fullSpeed, speedSent: fullSpeed, placedAt: placed.PlacedAt,
 	})
 	if t.step.def.Gang {
 		t.step.gangRun = max(t.step.gangRun, placed.Run)
--- a/internal/coordination/schedule/record.go
+++ b/internal/coordination/schedule/record.go
@@ -63,7 +63,9 @@
 		for _, t := range s.tasks {
 			for _, r := range t.runs {
 				if !e.Ended() {
-					placed = append(placed, jobs.Placement{Task: r.name, Run: r.number, Host: r.host.report.ID, Incarnation: r.host.incarnation})
+					placed = append(placed, jobs.Placement{
+						Task: r.name, Run: r.number, Host: r.host.report.ID, Incarnation: r.host.incarnation, PlacedAt: r.placedAt,
+					})
 				}
 				if r.unsent && !r.queued {
 					pendingStarts = append(pendingStarts, r)
--- a/internal/coordination/schedule/task.go
+++ b/internal/coordination/schedule/task.go
@@ -94,6 +94,8 @@
 	// have the run or, in stateUnknown, when the start failed without an answer.
 	sentAt    time.Time
 	startedAt time.Time
+	// placedAt is the reading of the host's clock when the run was placed, 0 if it is unknown.
+	placedAt time.Duration
 	// stopSentAt is when the last stop was sent, stopAckedAt when one was first answered;
 	// both are zero before. stopAckedAt is reset to zero when the stop must be repeated.
 	stopSentAt  time.Time
--- a/internal/state/jobs/job.go
+++ b/internal/state/jobs/job.go
@@ -32,6 +32,8 @@
 	Host worker.ID
 	// Incarnation is that of the host's worker, 0 if it was not known.
 	Incarnation worker.Incarnation
+	// PlacedAt is the reading of its clock when the run was placed, 0 if it was not known.
+	PlacedAt time.Duration
 }
 
 // Occurrence is the progress of one pass through a job's steps.
--- a/internal/state/jobs/progress.go
+++ b/internal/state/jobs/progress.go
@@ -30,7 +30,7 @@
 	for _, p := range j.Placements {
 		m.Placements = append(m.Placements, &wire.Placement{
 			Occurrence: int32(p.Task.Occurrence), Step: int32(p.Task.Step), Index: int32(p.Task.Index), //nolint:gosec // Bounded by job.Job.Validate.
-			Run: p.Run, Host: string(p.Host), Incarnation: int64(p.Incarnation),
+			Run: p.Run, Host: string(p.Host), Incarnation: int64(p.Incarnation), PlacedMs: p.PlacedAt.Milliseconds(),
 		})
 	}
 	data, err := proto.Marshal(m)
@@ -99,6 +99,7 @@
 		}
 		j.Placements = append(j.Placements, Placement{
 			Task: name, Run: p.GetRun(), Host: worker.ID(p.GetHost()), Incarnation: worker.Incarnation(p.GetIncarnation()),
+			PlacedAt: time.Duration(p.GetPlacedMs()) * time.Millisecond,
 		})
 	}
 	return nil
