Emulator: a serving job that was rightly given up is not missed

What the emulator got wrong: its ledger misses the tasks of each accepted serving job that is not cancelled, and counts the stops of such a job's tasks against its step. Jobs with an end were excused before.

The replacement is as strict: - A serving job is excused only once a caller was shown that it has failed. Then checkFailed applies, which was never asked of serving jobs; it takes no failed runs as a reason there, since these jobs are restarted however often they fail, but only two crashed workers. - A stop after which too few tasks are left is excused only if two workers had crashed under a task of the job by then, nothing of the job starts afterwards, and the job is shown as failed in the end. Else it is reported as before.

--- a/internal/emulator/site/crashes_test.go
+++ b/internal/emulator/site/crashes_test.go
@@ -29,6 +29,21 @@
 	})
 }
 
+// TestGivenUpServingJobIsMissed: a serving job has a deadly task; its other tasks work well.
+func TestGivenUpServingJobIsMissed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 4)
+		serving := newStep(4, 1000, 0)
+		serving.LongRunning, serving.MaxUnavailable, serving.MaxPerHost = true, 1, 1
+		id := f.submit("serving", []job.Step{serving}, func(_ *job.Job, actual []taskBehaviour) { actual[0].deadly = map[int]bool{2: true} })
+		time.Sleep(30 * time.Second)
+		if state := f.site.JobState("serving", id); state != job.Failed {
+			t.Errorf("the job is %q; want %s", state, job.Failed)
+		}
+		f.finish()
+	})
+}
+
 // TestCrashesAreBlamedOnTasks: workers crash by themselves, under tasks that did not cause it.
 func TestCrashesAreBlamedOnTasks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/emulator/site/ledger.go
+++ b/internal/emulator/site/ledger.go
@@ -37,6 +37,9 @@
 	shown job.State
 	// doneShownAt is when a caller was first shown that the job is done.
 	doneShownAt time.Time
+	// lastStops are ordered ends after which too few tasks of a step were left, of a job that may
+	// have been given up. They are violations if it was not, or if one of its tasks starts again.
+	lastStops []string
 }
 
 // taskBehaviour is how a step's tasks actually behave, which may differ from what the
@@ -231,7 +234,14 @@
 			continue
 		}
 		runs := h.failed
-		if len(runs) >= s.MaxAttempts || h.crashedUnder >= crashesToFail {
+		if h.crashedUnder >= crashesToFail {
+			return
+		}
+		if s.Steps[name.Step].LongRunning {
+			// It is restarted however often it fails.
+			continue
+		}
+		if len(runs) >= s.MaxAttempts {
 			return
 		}
 		// A gang fails as a whole, so the failed runs of its members count together.
@@ -275,13 +285,14 @@
 	return unfinished
 }
 
-// notRunning returns the tasks of accepted long-running jobs that have no live run.
+// notRunning returns the tasks of accepted long-running jobs that have no live run. A job that
+// was shown as failed, which checkFailed has checked, has none.
 func (l *Ledger) notRunning() []worker.TaskName {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var notRunning []worker.TaskName
 	for id, s := range l.jobs {
-		if s.acceptedAt.IsZero() || !s.cancelled.IsZero() || !s.Steps[0].LongRunning {
+		if s.acceptedAt.IsZero() || !s.cancelled.IsZero() || s.shown == job.Failed || !s.Steps[0].LongRunning {
 			continue
 		}
 		for index := range s.Steps[0].Tasks {
--- a/internal/emulator/site/ledger_avail.go
+++ b/internal/emulator/site/ledger_avail.go
@@ -1,9 +1,11 @@
 package site
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
 
 // noticeTime is the time within which the entry hosts must notice that a task is
@@ -39,11 +41,49 @@
 		}
 	}
 	if unavailable >= actual.step.MaxUnavailable {
-		l.addViolation("avail: %s ended %s on %s while %d others of its step were unavailable", order, key.task, w.id, unavailable)
+		l.recordLastStop(key.task, fmt.Sprintf("avail: %s ended %s on %s while %d others of its step were unavailable", order, key.task, w.id, unavailable))
 	}
 	l.history(key.task).endedByOrder = true
 }
 
+// recordLastStop records an ordered end after which too few tasks of a step are left. It is a
+// violation at once unless the job may have been given up.
+func (l *Ledger) recordLastStop(task worker.TaskName, violation string) {
+	if !l.mayBeGivenUp(task.Job) {
+		l.addViolation("%s", violation)
+		return
+	}
+	s := l.jobs[job.ID(task.Job)]
+	s.lastStops = append(s.lastStops, violation)
+}
+
+// mayBeGivenUp reports whether enough workers have crashed under a task of a job.
+func (l *Ledger) mayBeGivenUp(id string) bool {
+	for name, h := range l.tasks {
+		if name.Job == id && h.crashedUnder >= crashesToFail {
+			return true
+		}
+	}
+	return false
+}
+
+// reportLastStops reports the ordered ends that were not the last ones of a job.
+func (l *Ledger) reportLastStops(s *submitted) {
+	l.violations = append(l.violations, s.lastStops...)
+	s.lastStops = nil
+}
+
+// checkLastStops reports the ordered ends of jobs that were not given up in the end.
+func (l *Ledger) checkLastStops() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.jobs {
+		if s.shown != job.Failed {
+			l.reportLastStops(s)
+		}
+	}
+}
+
 // recordOrderedEnds records and checks the ends of all runs of a worker that an order
 // takes down.
 func (w *Worker) recordOrderedEnds(order string) {
--- a/internal/emulator/site/ledger_tasks.go
+++ b/internal/emulator/site/ledger_tasks.go
@@ -24,6 +24,7 @@
 	l.Starts++
 	s := l.jobs[job.ID(o.Task.Job)]
 	h := l.history(o.Task)
+	l.reportLastStops(s)
 	if len(h.running) > 0 && !actual.step.Speculative {
 		l.addViolation("twice: %s run %d was started on %s while runs %v were live", o.Task, o.Run, w.id, h.running)
 	}
