The crash of a host that is just being cordoned is counted

Callers would see: a deadly task started once more than it may be (BUDGET), when other crashes under it are not known either. The host counted as told to leave, and its crash was counted against nobody.

Cause: a cordon marks a host as told to leave at once, but the machines' owner orders it away only after a load that shows the cordon, and a record. The class: an announcement is taken for the deed.

Change: a cordoned host has crashed if it was found silent at once, less than the 0.15 s in which a crash is put down to a start after it was sent one. That is weak evidence, which counts for the bound of four only, since the cordon may be shown in a load at once.

Test: TestCrashOfACordonedHostIsNotCounted failed before for a crash 8 ms after the start; its second case, 0.15 s after it, is no crash before and after. TestOrderedEndIsBlamed is as it was.

--- a/internal/coordination/schedule/crash.go
+++ b/internal/coordination/schedule/crash.go
@@ -123,15 +123,16 @@
 }
 
 // countCrash counts the crash of a host against a run. The crash is weak evidence if the host
-// may not have begun the run, or has or may have borne it for a while, as one that an earlier
-// owner started, or one that may have ended on a host that was cut off before it crashed.
+// may not have begun the run or was about to be ordered away, or has or may have borne the run for
+// a while, as one that an earlier owner started, or one that may have ended on a host that was cut
+// off before it crashed.
 func (p *Pool) countCrash(r *run) {
 	s := r.task.step
 	if !s.job.MarkCrashed(s.occurrence, s.number, r.task.index, r.number) {
 		return
 	}
 	p.markDirty(s.job)
-	if r.startedAt.IsZero() || r.unconfirmed || r.adopted || r.host.wasCutOff() || r.workedFor() >= startupTime {
+	if r.startedAt.IsZero() || r.unconfirmed || r.adopted || r.host.wasCutOff() || r.host.leaving || r.workedFor() >= startupTime {
 		r.task.weakCrashes++
 	}
 	p.suspects[r.task] = struct{}{}
--- a/internal/coordination/schedule/crash_test.go
+++ b/internal/coordination/schedule/crash_test.go
@@ -202,6 +202,23 @@
 	}
 }
 
+// TestCrashOfACordonedHostIsNotCounted: a host crashes under a run that was started just before it
+// was cordoned. It can't have been ordered away so soon.
+func TestCrashOfACordonedHostIsNotCounted(t *testing.T) {
+	for after, suspects := range map[time.Duration]int{8 * time.Millisecond: 1, startupTime: 0} {
+		h := newHarness(t, "h1")
+		h.add(idA, testStep(1, 1000))
+		starts, _ := h.plan()
+		h.accept(starts...)
+		h.pool.Restrict([]worker.ID{"h1"}, UseNone, h.now)
+		h.advance(after)
+		h.crash("h1")
+		if n := len(h.pool.suspects); n != suspects {
+			t.Errorf("%d tasks are suspected of a crash %s after the cordon; want %d", n, after, suspects)
+		}
+	}
+}
+
 // TestLongRunningTaskCollectsCrashes: hosts crash now and then under a task that works for long.
 func TestLongRunningTaskCollectsCrashes(t *testing.T) {
 	h := newHarness(t, "h1")
--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -83,7 +83,21 @@
 // wasToldToLeave reports whether the present incarnation ends by intent: it drains, or was
 // vacated to be ordered away.
 func (h *host) wasToldToLeave() bool {
-	return h.report.Draining || h.leaving || (h.drained != 0 && h.drained == h.incarnation)
+	return h.report.Draining || (h.leaving && !h.fellSilentAtStart()) || (h.drained != 0 && h.drained == h.incarnation)
+}
+
+// fellSilentAtStart reports whether the worker was found silent at once, and so soon after it was
+// sent a start that the run may have crashed it.
+func (h *host) fellSilentAtStart() bool {
+	if h.confirmed || h.wasCutOff() {
+		return false
+	}
+	for _, r := range h.runs {
+		if after := h.silentAt.Sub(r.sentAt); !r.unsent && after > 0 && after < startupTime {
+			return true
+		}
+	}
+	return false
 }
 
 // wasCutOff reports whether the worker was first silent, for so long that a call timed out. When
