A pool's owner that has seen a later one reports no load

Callers would see: runs lost to a move of their machine, and their sound job given up, under which no worker has crashed (LOST).

Cause, in the trace: the log is away from a pool's owner at 23.01 s, the next owner has the pool at 24.51 s and starts eight runs on a machine; the former one is fenced by another host at 24.58 s. The machines' owner, whose list of owners is up to a second old, cordons that machine with the former owner at 24.62 s, is told that it is vacant, and orders it away at 24.88 s. To the next owner, which knows of no cordon, that was a crash. The class: around a hand-over both act for a moment, and the one that knows better isn't asked.

Change: of a pool whose later owner it has seen, an entry host reports no load, and it neither restricts its hosts nor marks them as gone, as if it did not own the pool. Without a load the machines' owner leaves the machines of a pool alone.

Test: TestFencedOwnerReportsItsLoad failed before for all three. Remaining: an owner that has not been fenced yet is still believed, at most until the next answer of a host that its successor has reached; the list of owners may be a second old.

--- a/internal/jobhost/loads.go
+++ b/internal/jobhost/loads.go
@@ -12,7 +12,8 @@
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
 
-// ownedLoads returns the loads of the pools that this entry host owns.
+// ownedLoads returns the loads of the pools that this entry host owns. Of one with a later owner it
+// can't know what runs on a host.
 func (h *JobHost) ownedLoads() []*wire.PoolLoad {
 	now := h.now()
 	if !h.mayAct(now) {
@@ -24,7 +25,9 @@
 			continue
 		}
 		for _, r := range p.runners() {
-			all = append(all, loadToProto(r.pool.Load(now)))
+			if !r.pool.Fenced() {
+				all = append(all, loadToProto(r.pool.Load(now)))
+			}
 		}
 	}
 	return all
@@ -118,7 +121,7 @@
 // the pool and knows all the hosts.
 func (h *JobHost) restrictOwned(pool string, hosts []worker.ID, use schedule.Use) bool {
 	_, r, ok := h.ownedPool(pool)
-	if !ok {
+	if !ok || r.pool.Fenced() {
 		return false
 	}
 	ok = r.pool.Restrict(hosts, use, h.now())
@@ -148,7 +151,7 @@
 // entry host does not own the pool.
 func (h *JobHost) markGoneOwned(pool string, id worker.ID, lastSeen time.Time) bool {
 	_, r, ok := h.ownedPool(pool)
-	if !ok {
+	if !ok || r.pool.Fenced() {
 		return false
 	}
 	r.pool.WorkerEnded(id, lastSeen, h.now())
--- a/internal/jobhost/loads_test.go
+++ b/internal/jobhost/loads_test.go
@@ -56,3 +56,23 @@
 		t.Errorf("runs after each report that the worker has ended (-want +got):\n%s", diff)
 	}
 }
+
+// TestFencedOwnerReportsItsLoad guards against a machine that is ordered away with what its pool's
+// next owner has started there: the former one says that the machine is vacant.
+func TestFencedOwnerReportsItsLoad(t *testing.T) {
+	r := newRunnerTest(t)
+	h := r.own()
+	answers := func() map[string]bool {
+		load, _ := h.Load(t.Context(), &wire.LoadRequest{})
+		restricted, _ := h.Restrict(t.Context(), &wire.RestrictRequest{Pool: "maps", Use: wire.HostUse_HOST_USE_NONE, Hosts: []string{string(testHost)}})
+		gone, _ := h.Gone(t.Context(), &wire.GoneRequest{Pool: "maps", Host: string(testHost)})
+		return map[string]bool{"load": len(load.GetPools()) > 0, "restrict": restricted.GetDone(), "gone": gone.GetOwner()}
+	}
+	if diff := cmp.Diff(map[string]bool{"load": true, "restrict": true, "gone": true}, answers()); diff != "" {
+		t.Errorf("what the owner of the pool answers (-want +got):\n%s", diff)
+	}
+	r.runner.pool.Fence()
+	if diff := cmp.Diff(map[string]bool{"load": false, "restrict": false, "gone": false}, answers()); diff != "" {
+		t.Errorf("what an owner answers that has seen a later one (-want +got):\n%s", diff)
+	}
+}
