A crash whose host's end nobody tells is counted

Callers would see: a deadly task started once more than it may be (BUDGET), when other crashes under it are not known either.

Cause: a crash was counted only when the list of machines or the next incarnation told it, and by then the runs may be gone. The class: a fact is taken from one of its sources only, and what it is needed for is dropped before that answers.

Change: when the leases of a host are over, and it was found silent at once, less than the 0.15 s in which a crash is put down to a start after it was sent one, it has crashed. That is weak evidence, since only its silence tells. A host that is cut off is found silent by a call that runs out of its time, and has not crashed, as before.

Test: TestCrashThatNobodyTellsIsNotCounted failed before: the job was running after four such hosts. Its second case, hosts found silent after half a second, keeps the job before and after.

--- a/internal/coordination/schedule/crash.go
+++ b/internal/coordination/schedule/crash.go
@@ -61,7 +61,7 @@
 func (p *Pool) blameStarting(starting []*run, now time.Time) bool {
 	var causes, suspects []*run
 	for _, r := range starting {
-		p.countCrash(r)
+		p.countCrash(r, now)
 		if isCause(r, starting) {
 			causes = append(causes, r)
 		} else {
@@ -85,7 +85,7 @@
 			p.clearCrashes(r.task)
 			continue
 		}
-		p.countCrash(r)
+		p.countCrash(r, now)
 		switch crashes := r.task.crashes(); {
 		case crashes >= maxCrashes:
 			p.giveUp(r, starting, now)
@@ -123,21 +123,26 @@
 }
 
 // countCrash counts the crash of a host against a run. The crash is weak evidence if the host
-// may not have begun the run or was about to be ordered away, or has or may have borne the run for
-// a while, as one that an earlier owner started, or one that may have ended on a host that was cut
-// off before it crashed.
-func (p *Pool) countCrash(r *run) {
+// may not have begun the run or not have crashed, or has or may have borne the run for a while, as
+// one that an earlier owner started.
+func (p *Pool) countCrash(r *run, now time.Time) {
 	s := r.task.step
 	if !s.job.MarkCrashed(s.occurrence, s.number, r.task.index, r.number) {
 		return
 	}
 	p.markDirty(s.job)
-	if r.startedAt.IsZero() || r.unconfirmed || r.adopted || r.host.wasCutOff() || r.host.leaving || r.workedFor() >= startupTime {
+	if r.startedAt.IsZero() || r.unconfirmed || r.adopted || r.host.uncertain(now) || r.workedFor() >= startupTime {
 		r.task.weakCrashes++
 	}
 	p.suspects[r.task] = struct{}{}
 }
 
+// uncertain reports whether the host may have ended otherwise, or later, than by a crash under the
+// runs that were starting: it was cut off or about to be ordered away, or only its silence tells.
+func (h *host) uncertain(now time.Time) bool {
+	return h.wasCutOff() || h.leaving || !now.Before(h.expiry)
+}
+
 func (p *Pool) clearCrashes(t *task) {
 	t.weakCrashes = 0
 	if t.step.job.ClearCrashes(t.step.occurrence, t.step.number, t.index) {
--- a/internal/coordination/schedule/crash_test.go
+++ b/internal/coordination/schedule/crash_test.go
@@ -219,6 +219,27 @@
 	}
 }
 
+// TestCrashThatNobodyTellsIsNotCounted: hosts break off under a task and don't answer until their
+// leases are over, while the owner of the machines can't be asked. Hosts that are cut off don't break
+// off.
+func TestCrashThatNobodyTellsIsNotCounted(t *testing.T) {
+	for silentAfter, want := range map[time.Duration]job.State{8 * time.Millisecond: job.Failed, silenceOfACutOff: job.Running} {
+		h := newHarness(t, "h1")
+		h.add(idA, testStep(1, 1000))
+		for n := range worker.Incarnation(maxCrashes) {
+			starts, _ := h.plan()
+			h.wantStarts(starts, idA+".0.0.0")
+			h.accept(starts...)
+			h.advance(silentAfter)
+			h.pool.RenewalFailed("h1", h.now, errNoAnswer)
+			h.advance(h.pool.limits.MaxLease)
+			h.plan()
+			h.renew("h1", 2+n)
+		}
+		h.wantState(idA, want)
+	}
+}
+
 // TestLongRunningTaskCollectsCrashes: hosts crash now and then under a task that works for long.
 func TestLongRunningTaskCollectsCrashes(t *testing.T) {
 	h := newHarness(t, "h1")
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -73,6 +73,9 @@
 		if h.confirmed {
 			continue
 		}
+		if h.fellSilentAtStart() {
+			p.hostCrashed(h, now)
+		}
 		p.releaseAll(h, now)
 	}
 }
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -291,8 +291,8 @@
 		return
 	}
 	p.events.Event("host-gone", "host", id, "pool", p.name, "runs", len(h.runs), "heard", h.heardAt)
-	h.expiry = now
 	p.hostCrashed(h, now)
+	h.expiry = now
 	p.releaseAll(h, now)
 }
 
