--- a/internal/coordination/schedule/crash.go
+++ b/internal/coordination/schedule/crash.go
@@ -1,10 +1,6 @@
 package schedule
 
-import (
-	"time"
-
-	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
-)
+import "time"
 
 const (
 	// startupTime is how long after the start of a run a crash of its host is put down to the run.
@@ -186,20 +182,3 @@
 	p.events.Event("job-failed", "job", e.ID, "pool", p.name, "task", r.name, "reason", "crashes-hosts", "crashes", r.task.crashes(),
 		"suspects", starting, "host", r.host.report.ID)
 }
-
-// inheritCrashes takes over the tasks of a job under which hosts crashed before this tenure.
-// With a single crash, most likely another task was the cause. How strong the evidence was is not
-// recorded.
-func (p *Pool) inheritCrashes(e *jobEntry, now time.Time) {
-	if e.Ended() {
-		return
-	}
-	for _, c := range e.CrashedTasks() {
-		t := e.task(worker.TaskName{Job: string(e.ID), Occurrence: c.Occurrence, Step: c.Step, Index: c.Index})
-		p.suspects[t] = struct{}{}
-		t.weakCrashes = c.Crashes
-		if c.Crashes >= blamedCrashes {
-			p.watch(t, now)
-		}
-	}
-}
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -121,32 +121,6 @@
 	p.inheritCrashes(e, p.tenureStart)
 }
 
-// inherit adds a run that an earlier owner recorded. Its task is not started again
-// before its host has reported on the run or can't be running it any more.
-func (p *Pool) inherit(e *jobEntry, placed jobs.Placement) {
-	h, ok := p.hosts[placed.Host]
-	if !ok {
-		h = newHost(worker.Report{ID: placed.Host, Pool: p.name}, p.tenureStart)
-		h.expiry = p.inheritedExpiry
-		p.hosts[placed.Host] = h
-	}
-	t := e.task(placed.Task)
-	if t == nil || e.Ended() {
-		return
-	}
-	if h.contactedAt.IsZero() {
-		// If another incarnation answers, this one has ended with the run.
-		h.incarnation = max(h.incarnation, placed.Incarnation)
-	}
-	p.attach(&run{
-		task: t, name: placed.Task, number: placed.Run, host: h, needs: t.step.def.Reserved(), state: stateInherited,
-		adopted: true, speed: fullSpeed, speedSent: fullSpeed, placedAt: placed.PlacedAt,
-	})
-	if t.step.def.Gang {
-		t.step.gangRun = max(t.step.gangRun, placed.Run)
-	}
-}
-
 // CancelJob cancels a job; the cancel must be recorded in the log already.
 func (p *Pool) CancelJob(id job.ID, now time.Time) {
 	p.mu.Lock()
