--- a/internal/coordination/schedule/crash.go
+++ b/internal/coordination/schedule/crash.go
@@ -1,10 +1,6 @@
 package schedule
 
-import (
-	"time"
-
-	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
-)
+import "time"
 
 const (
 	// startupTime is how long after the start of a run a crash of its host is put down to the run.
@@ -72,7 +68,7 @@
 func (p *Pool) blameStarting(starting []*run, now time.Time) bool {
 	var causes, suspects []*run
 	for _, r := range starting {
-		p.countCrash(r)
+		p.countCrash(r, now)
 		if isCause(r, starting) {
 			causes = append(causes, r)
 		} else {
@@ -96,7 +92,7 @@
 			p.clearCrashes(r.task)
 			continue
 		}
-		p.countCrash(r)
+		p.countCrash(r, now)
 		switch crashes := r.task.crashes(); {
 		case crashes >= maxCrashes:
 			p.giveUp(r, starting, now)
@@ -116,6 +112,14 @@
 	return startupTime
 }
 
+// age returns how long ago a run was placed, by its host's clock; 0 if that is not known.
+func (r *run) age() time.Duration {
+	if r.placedAt == 0 {
+		return 0
+	}
+	return max(0, r.host.clock-r.placedAt)
+}
+
 // workedFor returns the time for which the host is known to have borne a run. A run of an
 // earlier owner that the host has not reported may have been started just before the crash.
 func (r *run) workedFor() time.Duration {
@@ -126,20 +130,26 @@
 }
 
 // countCrash counts the crash of a host against a run. The crash is weak evidence if the host
-// may not have begun the run, or has or may have borne it for a while, as one that an earlier
-// owner started, or one that may have ended on a host that was cut off before it crashed.
-func (p *Pool) countCrash(r *run) {
+// may not have begun the run or not have crashed, or has or may have borne the run for a while, as
+// one that an earlier owner started.
+func (p *Pool) countCrash(r *run, now time.Time) {
 	s := r.task.step
 	if !s.job.MarkCrashed(s.occurrence, s.number, r.task.index, r.number) {
 		return
 	}
 	p.markDirty(s.job)
-	if r.startedAt.IsZero() || r.unconfirmed || r.adopted || r.host.wasCutOff() || r.workedFor() >= startupTime {
+	if r.startedAt.IsZero() || r.unconfirmed || r.adopted || r.host.uncertain(now) || r.workedFor() >= startupTime {
 		r.task.weakCrashes++
 	}
 	p.suspects[r.task] = struct{}{}
 }
 
+// uncertain reports whether the host may have ended otherwise, or later, than by a crash under the
+// runs that were starting: it was cut off or about to be ordered away, or only its silence tells.
+func (h *host) uncertain(now time.Time) bool {
+	return h.wasCutOff() || h.leaving || !now.Before(h.expiry)
+}
+
 func (p *Pool) clearCrashes(t *task) {
 	t.weakCrashes = 0
 	if t.step.job.ClearCrashes(t.step.occurrence, t.step.number, t.index) {
@@ -183,20 +193,3 @@
 	p.events.Event("job-failed", "job", e.ID, "pool", p.name, "task", r.name, "reason", "crashes-hosts", "crashes", r.task.crashes(),
 		"suspects", starting, "host", r.host.report.ID)
 }
-
-// inheritCrashes takes over the tasks of a job under which hosts crashed before this tenure.
-// With a single crash, most likely another task was the cause. How strong the evidence was is not
-// recorded.
-func (p *Pool) inheritCrashes(e *jobEntry, now time.Time) {
-	if e.Ended() {
-		return
-	}
-	for _, c := range e.CrashedTasks() {
-		t := e.task(worker.TaskName{Job: string(e.ID), Occurrence: c.Occurrence, Step: c.Step, Index: c.Index})
-		p.suspects[t] = struct{}{}
-		t.weakCrashes = c.Crashes
-		if c.Crashes >= blamedCrashes {
-			p.watch(t, now)
-		}
-	}
-}
--- a/internal/coordination/schedule/crash_test.go
+++ b/internal/coordination/schedule/crash_test.go
@@ -202,6 +202,44 @@
 	}
 }
 
+// TestCrashOfACordonedHostIsNotCounted: a host crashes under a run that was started just before it
+// was cordoned. It can't have been ordered away so soon.
+func TestCrashOfACordonedHostIsNotCounted(t *testing.T) {
+	for after, suspects := range map[time.Duration]int{8 * time.Millisecond: 1, startupTime: 0} {
+		h := newHarness(t, "h1")
+		h.add(idA, testStep(1, 1000))
+		starts, _ := h.plan()
+		h.accept(starts...)
+		h.pool.Restrict([]worker.ID{"h1"}, UseNone, h.now)
+		h.advance(after)
+		h.crash("h1")
+		if n := len(h.pool.suspects); n != suspects {
+			t.Errorf("%d tasks are suspected of a crash %s after the cordon; want %d", n, after, suspects)
+		}
+	}
+}
+
+// TestCrashThatNobodyTellsIsNotCounted: hosts break off under a task and don't answer until their
+// leases are over, while the owner of the machines can't be asked. Hosts that are cut off don't break
+// off.
+func TestCrashThatNobodyTellsIsNotCounted(t *testing.T) {
+	for silentAfter, want := range map[time.Duration]job.State{8 * time.Millisecond: job.Failed, silenceOfACutOff: job.Running} {
+		h := newHarness(t, "h1")
+		h.add(idA, testStep(1, 1000))
+		for n := range worker.Incarnation(maxCrashes) {
+			starts, _ := h.plan()
+			h.wantStarts(starts, idA+".0.0.0")
+			h.accept(starts...)
+			h.advance(silentAfter)
+			h.pool.RenewalFailed("h1", h.now, errNoAnswer)
+			h.advance(h.pool.limits.MaxLease)
+			h.plan()
+			h.renew("h1", 2+n)
+		}
+		h.wantState(idA, want)
+	}
+}
+
 // TestLongRunningTaskCollectsCrashes: hosts crash now and then under a task that works for long.
 func TestLongRunningTaskCollectsCrashes(t *testing.T) {
 	h := newHarness(t, "h1")
@@ -271,3 +309,31 @@
 	starts, _ := h.plan()
 	h.wantStarts(starts, idB+".0.0.0")
 }
+
+// TestRunsOfAGivenUpJobAreStoppedUnrecorded: a later owner, which does not know that the job was
+// given up, would have to start them again.
+func TestRunsOfAGivenUpJobAreStoppedUnrecorded(t *testing.T) {
+	h := newHarness(t, "h1", "h2", "h3")
+	serving := testStep(2, 1000)
+	serving.LongRunning, serving.MaxPerHost, serving.MaxUnavailable = true, 1, 1
+	h.add(idA, serving)
+	starts, _ := h.plan()
+	sortStarts(starts)
+	h.wantStarts(starts, idA+".0.0.0", idA+".0.0.1")
+	h.accept(starts...)
+	sound := starts[0]
+	h.survive(sound.Target.ID, 1, sound)
+	h.crash(starts[1].Target.ID)
+	again, _ := h.plan()
+	h.wantStarts(again, idA+".0.0.1")
+	h.accept(again...)
+	h.crash(again[0].Target.ID)
+	if n := len(h.pool.Plan(h.now).Stops); n != 0 {
+		t.Errorf("%d runs are stopped before the state is recorded; want none", n)
+	}
+	h.wantState(idA, job.Failed)
+	stops := h.pool.Plan(h.now).Stops
+	if len(stops) != 1 || stops[0].Order.Task != sound.Order.Task {
+		t.Errorf("stops %v; want one of %s", stops, sound.Order.Task)
+	}
+}
--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -153,8 +153,7 @@
 			continue
 		}
 		if r.state == stateInherited {
-			// When it was started is not recorded; how long it has worked counts from now.
-			r.sentAt = now
+			r.sentAt = now.Add(-r.age())
 		}
 		if r.state == stateSending || r.state == stateUnknown || r.state == stateInherited {
 			r.state, r.startedAt, r.unconfirmed, r.task.step.job.begun = stateRunning, now, false, true
@@ -190,7 +189,7 @@
 	delete(h.unknownRuns, key)
 	r := &run{
 		task: t, name: row.Task, number: row.Run, host: h, needs: t.step.def.Reserved(), state: stateRunning, adopted: true,
-		sentAt: now, startedAt: now, speed: row.Percent, speedSent: row.Percent,
+		sentAt: now, startedAt: now, placedAt: h.clock, speed: row.Percent, speedSent: row.Percent,
 	}
 	p.attach(r)
 	e.started, e.begun = true, true
@@ -208,7 +207,7 @@
 	t := r.task
 	switch {
 	case !r.adopted:
-	case t.step.job.Ended() || t.done():
+	case t.step.job.endRecorded() || t.done():
 		p.stop(r, "ended")
 	case t.step.def.Gang && t.step.gangRun > r.number:
 		p.stop(r, "gang-replaced")
--- a/internal/coordination/schedule/incarnation.go
+++ b/internal/coordination/schedule/incarnation.go
@@ -46,6 +46,7 @@
 	clear(h.unknownRuns)
 	h.unanswered.restarted(now)
 	for _, r := range h.runs {
+		r.placedAt = 0
 		switch {
 		case !known || r.unsent:
 			// An unsent run was on no incarnation; its record or its turn at the host releases it.
--- a/internal/coordination/schedule/lapsed.go
+++ b/internal/coordination/schedule/lapsed.go
@@ -9,12 +9,13 @@
 const lapsedRetention = 2 * time.Minute
 
 // keepLapsed keeps the starting runs of a silent host whose leases have expired. Its worker may
-// have crashed; only the list of machines or an answer tells.
+// have crashed; only the list of machines or an answer tells. One that was cut off has ended them
+// before it can crash.
 func (p *Pool) keepLapsed(h *host, now time.Time) {
 	if now.Sub(h.expiry) > lapsedRetention {
 		h.forgetLapsed()
 	}
-	if h.wasToldToLeave() {
+	if h.wasToldToLeave() || h.wasCutOff() {
 		return
 	}
 	for _, r := range h.runs {
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -123,26 +123,6 @@
 	p.inheritCrashes(e, p.tenureStart)
 }
 
-// inherit adds a run that an earlier owner recorded. Its task is not started again
-// before its host has reported on the run or can't be running it any more.
-func (p *Pool) inherit(e *jobEntry, placed jobs.Placement) {
-	h, ok := p.hosts[placed.Host]
-	if !ok {
-		h = p.addHost(worker.Report{ID: placed.Host, Pool: p.name}, p.tenureStart, p.inheritedExpiry)
-	}
-	t := e.task(placed.Task)
-	if t == nil || e.Ended() {
-		return
-	}
-	p.attach(&run{
-		task: t, name: placed.Task, number: placed.Run, host: h, needs: t.step.def.Reserved(), state: stateInherited,
-		adopted: true, speed: fullSpeed, speedSent: fullSpeed,
-	})
-	if t.step.def.Gang {
-		t.step.gangRun = max(t.step.gangRun, placed.Run)
-	}
-}
-
 // CancelJob cancels a job; the cancel must be recorded in the log already.
 func (p *Pool) CancelJob(id job.ID, now time.Time) {
 	p.mu.Lock()
@@ -289,9 +269,9 @@
 		return
 	}
 	p.events.Event("host-gone", "host", id, "pool", p.name, "runs", len(h.runs), "heard", h.heardAt)
-	h.expiry = now
 	p.hostCrashed(h, now, now)
 	h.forgetLapsed()
+	h.expiry = now
 	p.releaseAll(h, now)
 }
 
