A client closed before its pollers run does not wait forever

What callers saw: a client or a server of httpconn that was closed right after it was made did not return from Close, and its pollers spun on their event. An operator's command to an entry host where nothing listens closes its client in this way. TestAppendNotSent met it.

Cause: the loop of a poller of nbio v1.6.8 sets its flag `shutdown` back to false when it begins. A stop that comes before that is lost. Class: a shutdown that races with the start.

Change: one type makes, starts and stops the engines of clients and servers. It puts one end of a socket pair into each poller and starts only once each poller has returned a byte. Only the loop of a poller reads, and it does so after it has reset the flag, so that no stop can come before that.

--- a/internal/transport/httpconn/client.go
+++ b/internal/transport/httpconn/client.go
@@ -92,7 +92,7 @@
 
 // Client keeps a bounded pool of connections for each address.
 type Client struct {
-	engine      *nbhttp.Engine
+	engine      *engine
 	maxConns    int
 	dialTimeout time.Duration
 	idleLimit   time.Duration
@@ -130,18 +130,21 @@
 	for _, apply := range opts {
 		apply(&o)
 	}
-	engine := nbhttp.NewEngine(nbhttp.Config{
+	e, err := newEngine(nbhttp.Config{
 		Name:              "httpconn",
 		MaxHTTPBodySize:   o.maxAnswer,
 		ReadLimit:         o.maxAnswer + 1<<20,
 		SupportServerOnly: true,
 		ServerExecutor:    func(f func()) { go f() },
 	})
-	if err := engine.Start(); err != nil {
+	if err == nil {
+		err = e.start()
+	}
+	if err != nil {
 		return nil, errors.Wrap(err, "start the HTTP client")
 	}
 	return &Client{
-		engine: engine, maxConns: o.maxConns, dialTimeout: o.dialTimeout, idleLimit: o.idleLimit,
+		engine: e, maxConns: o.maxConns, dialTimeout: o.dialTimeout, idleLimit: o.idleLimit,
 		pools: map[netip.AddrPort]*pool{},
 	}, nil
 }
@@ -155,7 +158,7 @@
 		p.closeIdleConns()
 	}
 	c.mu.Unlock()
-	c.engine.Stop()
+	c.engine.stop()
 }
 
 // Do sends a request and waits for the complete answer. If ctx ends first, Do closes the
--- a/internal/transport/httpconn/conn.go
+++ b/internal/transport/httpconn/conn.go
@@ -40,7 +40,7 @@
 	}
 	cn := &conn{host: address.String()}
 	cn.client = &nbhttp.ClientConn{
-		Engine: c.engine,
+		Engine: c.engine.Engine,
 		Dial:   func(string, string) (net.Conn, error) { return tcp, nil },
 	}
 	cn.client.OnClose(func() { cn.closed.Store(true) })
--- a/internal/transport/httpconn/server.go
+++ b/internal/transport/httpconn/server.go
@@ -14,7 +14,7 @@
 
 // Server is an HTTP server on one address.
 type Server struct {
-	engine  *nbhttp.Engine
+	engine  *engine
 	address netip.AddrPort
 }
 
@@ -33,7 +33,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
-	engine := nbhttp.NewEngine(nbhttp.Config{
+	e, err := newEngine(nbhttp.Config{
 		Name:            "server-" + address.String(),
 		Network:         "tcp",
 		Addrs:           []string{address.String()},
@@ -44,15 +44,18 @@
 		MaxLoad:         limits.MaxConns,
 		ServerExecutor:  func(f func()) { go f() },
 	})
-	orderOpenBeforeData(engine)
-	if err := engine.Start(); err != nil {
-		return nil, errors.Wrapf(err, "serve on %s", address)
+	if err != nil {
+		return nil, errors.CombineErrors(errors.Wrapf(err, "serve on %s", address), listener.Close())
+	}
+	orderOpenBeforeData(e.Engine)
+	if err := e.start(); err != nil {
+		return nil, errors.CombineErrors(errors.Wrapf(err, "serve on %s", address), listener.Close())
 	}
 	bound, err := netip.ParseAddrPort(listener.Addr().String())
 	if err != nil {
 		return nil, errors.Wrap(err, "read the bound address")
 	}
-	return &Server{engine: engine, address: bound}, nil
+	return &Server{engine: e, address: bound}, nil
 }
 
 // orderOpenBeforeData shows the race detector a happens-before relation that otherwise
@@ -72,11 +75,12 @@
 
 // Close stops the server and closes its connections.
 func (s *Server) Close() {
-	s.engine.Stop()
+	s.engine.stop()
 }
 
 // Shutdown stops the server once its connections are done or ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
+	defer s.engine.closeProbes()
 	return s.engine.Shutdown(ctx)
 }
 
