A new connection is not closed for an event of an old one

What callers saw: a request over a new connection ended with EOF or a reset and without an answer, though nothing was wrong. Clients of the project saw the same, and reported that a request may have run.

Other goroutines than the poller's close connections, for example after the answer to a request with `Connection: close`. If the peer closes too, the poller may hold an event of that connection while its descriptor goes to a new one, which the poller then closes. Class: an identifier is reused while somebody still acts on its former meaning.

Change: the engine takes every new connection over. It waits until the probe of the connection's poller has answered once more, and only then may the connection be added. The byte is written after the old connection was closed, and is answered in a later turn than the one that holds the old event.

Remaining: the kernel frees a descriptor shortly before it removes the closed socket from the poller. An event read in between could still meet the new connection; no run has shown it.

--- a/internal/transport/httpconn/conn.go
+++ b/internal/transport/httpconn/conn.go
@@ -41,7 +41,7 @@
 	cn := &conn{host: address.String()}
 	cn.client = &nbhttp.ClientConn{
 		Engine: c.engine.Engine,
-		Dial:   func(string, string) (net.Conn, error) { return tcp, nil },
+		Dial:   func(string, string) (net.Conn, error) { return c.engine.adopt(tcp) },
 	}
 	cn.client.OnClose(func() { cn.closed.Store(true) })
 	return cn, nil
--- a/internal/transport/httpconn/engine.go
+++ b/internal/transport/httpconn/engine.go
@@ -1,7 +1,10 @@
 package httpconn
 
 import (
+	"net"
+
 	"github.com/cockroachdb/errors"
+	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 )
 
@@ -42,6 +45,20 @@
 	return nil
 }
 
+// adopt takes a connection over, which may then be added to a poller. A poller looks up the
+// connection of an event by its descriptor. It may still hold an event of a closed
+// connection with the same descriptor, and would close this one for it.
+func (e *engine) adopt(c net.Conn) (net.Conn, error) {
+	adopted, err := nbio.NBConn(c)
+	if err != nil {
+		return nil, errors.CombineErrors(err, c.Close())
+	}
+	if err := e.probes[adopted.Hash()%len(e.probes)].awaitTurn(); err != nil {
+		return nil, errors.CombineErrors(err, adopted.Close())
+	}
+	return adopted, nil
+}
+
 func (e *engine) stop() {
 	e.Stop()
 	e.closeProbes()
--- a/internal/transport/httpconn/server.go
+++ b/internal/transport/httpconn/server.go
@@ -33,11 +33,12 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
-	e, err := newEngine(nbhttp.Config{
+	var e *engine
+	e, err = newEngine(nbhttp.Config{
 		Name:            "server-" + address.String(),
 		Network:         "tcp",
 		Addrs:           []string{address.String()},
-		Listen:          func(string, string) (net.Listener, error) { return listener, nil },
+		Listen:          func(string, string) (net.Listener, error) { return adopter{listener, e}, nil },
 		Handler:         handler,
 		MaxHTTPBodySize: limits.MaxBody,
 		ReadLimit:       limits.MaxBody + 1<<20,
@@ -58,6 +59,21 @@
 	return &Server{engine: e, address: bound}, nil
 }
 
+// adopter hands accepted connections over to an engine.
+type adopter struct {
+	net.Listener
+	engine *engine
+}
+
+// Accept returns the next connection.
+func (a adopter) Accept() (net.Conn, error) {
+	c, err := a.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return a.engine.adopt(c)
+}
+
 // orderOpenBeforeData shows the race detector a happens-before relation that otherwise
 // runs through the kernel: the accepting goroutine sets a connection up before the poller
 // reads data from it.
