TestFreeze sends its requests once the entry host is stopped

Cause: the test was wrong. It sent the requests right after SIGSTOP. A process has stopped only when all its threads have; on a busy machine some run on for a while. The entry host then sends a request on to a host that is still in service, is stopped before it reads the answer, and says rightly, once it is resumed, that the request may have run. Class: a test takes a signal for its effect.

Change: the test waits until the system reports the stop of the whole process. All its checks stay, and now each of the 20 requests is read by a resumed entry host, as the test says.

--- a/internal/processtest/scenario_test.go
+++ b/internal/processtest/scenario_test.go
@@ -109,7 +109,7 @@
 	}
 	c.awaitVersion(2, c.entryHosts...)
 	frozen := c.entryHosts[0]
-	frozen.signal(syscall.SIGSTOP)
+	frozen.pause(t)
 	const waiting = 20
 	answers := make(chan answer, waiting)
 	ids := []string{}
