--- a/internal/emulator/site/worker_access.go
+++ b/internal/emulator/site/worker_access.go
@@ -17,7 +17,7 @@
 	// answer is carried out.
 	minLateDelay, maxLateDelay = 2 * time.Second, 12 * time.Second
 	// reachTime is how long after its start an owner has reached a worker, beside lost orders.
-	reachTime = 3 * time.Second
+	reachTime = 5 * time.Second
 )
 
 // workerAccess is an entry host's client of the workers.
