A gang is stopped whole if the start of a member gets no answer

Callers could see: a gang that is late, and members that hold room and wait until their time is over (GANG, ended as alone), since one of them was stopped for want of an answer and its start never came. Cause: the other members were stopped only when the worker listed an end of that run. The class: a resource whose only way back is one that a state of its owner skips. Evidence and test: TestMemberWithoutAnAnswerStopsItsGang failed before: one stop of two. Change: the other members are stopped with it. If the start had come, they were stopped before as well, by the end of the one that was stopped.

--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -100,6 +100,7 @@
 				p.stop(r, "task-done")
 			case r.state == stateUnknown && now.Sub(r.startedAt) > unknownStartTimeout:
 				p.stop(r, reasonUnanswered)
+				p.stopGangOf(r, "gang-incomplete")
 			case p.hangs(r, now):
 				p.stopHanging(r, now)
 			}
--- a/internal/coordination/schedule/start_test.go
+++ b/internal/coordination/schedule/start_test.go
@@ -120,3 +120,19 @@
 		t.Errorf("the clock of the host is taken for %s, after it said %s; next renewal %+v", h.pool.hosts["h1"].clockNow(h.now), ahead, order)
 	}
 }
+
+// TestMemberWithoutAnAnswerStopsItsGang guards against members that wait until their time is over
+// for one whose start got no answer and is stopped.
+func TestMemberWithoutAnAnswerStopsItsGang(t *testing.T) {
+	h := newHarness(t, "h1")
+	step := testStep(2, 1000)
+	step.Gang = true
+	h.add(idA, step)
+	starts, _ := h.plan()
+	h.accept(starts[0])
+	h.noAnswer(starts[1])
+	h.advance(2 * unknownStartTimeout)
+	if _, orders := h.plan(); len(orders.Stops) != 2 {
+		t.Errorf("%d members of the gang are stopped; want 2", len(orders.Stops))
+	}
+}
