Suspected tasks that are too late go after those that can be on time

Cause: suspected tasks are placed before all others, in the order of their classes among themselves only. The class: a way past the queue is also a way past its order.

Evidence and test: TestTooLateSuspectGoesFirst failed before: the only host went to the task that was too late.

Change: suspected tasks whose results come too late are placed after all others.

--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -11,7 +11,8 @@
 	waiting := false
 	lowest := p.leastUrgentPriority()
 	var unplaced unplacedDemands
-	p.placeSuspects(now, orders)
+	suspects, tooLate := p.startableSuspects(now)
+	p.placeSuspects(suspects, now, orders)
 	for _, c := range p.candidates(now) {
 		if c.step.job.NeedsPlacementCheck {
 			if q, ok := p.placementQuery(c.step, now); ok {
@@ -31,6 +32,7 @@
 			}
 		}
 	}
+	p.placeSuspects(tooLate, now, orders)
 	if waiting {
 		p.reportBlocked(now)
 		return
