--- a/internal/coordination/schedule/crash_test.go
+++ b/internal/coordination/schedule/crash_test.go
@@ -256,22 +256,6 @@
 	}
 }
 
-// TestHostWaitsForATrialThatHasWorked: a host stands empty beside a task under which several
-// hosts have crashed, though it has survived the start of the task.
-func TestHostWaitsForATrialThatHasWorked(t *testing.T) {
-	h := newHarness(t, "h1")
-	h.inheritCrashed(idA, likelyCrashes)
-	trial, _ := h.plan()
-	h.wantStarts(trial, idA+".0.0.0")
-	h.accept(trial...)
-	h.add(idB, testStep(1, 1000))
-	none, _ := h.plan()
-	h.wantStarts(none)
-	h.survive("h1", 1, trial...)
-	starts, _ := h.plan()
-	h.wantStarts(starts, idB+".0.0.0")
-}
-
 // TestTooLateSuspectGoesFirst: a suspected task whose result has no value any more takes the room
 // of one that can still be on time.
 func TestTooLateSuspectGoesFirst(t *testing.T) {
--- a/internal/coordination/schedule/suspects.go
+++ b/internal/coordination/schedule/suspects.go
@@ -80,7 +80,7 @@
 	if r == nil {
 		return false
 	}
-	if h.runs[r.key()] != r || (r.state == stateRunning && r.workedFor() >= startupTime) {
+	if h.runs[r.key()] != r || (r.state == stateRunning && r.workedFor() >= r.task.trialTime()) {
 		h.trial = nil
 		return false
 	}
