Revert "Suspected tasks that are too late go after those that can be on time"

Callers would see: a sound job shown as failed. A suspected task that is placed after the others has no host left on which nothing else is starting, so that after half a second it shares one, and the next crash there is put down to it.

That suspects go before jobs that can be on time is open.

--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -11,8 +11,7 @@
 	waiting := false
 	lowest := p.leastUrgentPriority()
 	var unplaced unplacedDemands
-	suspects, tooLate := p.startableSuspects(now)
-	p.placeSuspects(suspects, now, orders)
+	p.placeSuspects(now, orders)
 	for _, c := range p.candidates(now) {
 		if c.step.job.NeedsPlacementCheck {
 			if q, ok := p.placementQuery(c.step, now); ok {
@@ -32,7 +31,6 @@
 			}
 		}
 	}
-	p.placeSuspects(tooLate, now, orders)
 	if waiting {
 		p.reportBlocked(now)
 		return
--- a/internal/coordination/schedule/suspects.go
+++ b/internal/coordination/schedule/suspects.go
@@ -99,9 +99,9 @@
 	}
 }
 
-// placeSuspects places suspected tasks, each on a host where nothing else is starting.
-func (p *Pool) placeSuspects(tasks []*task, now time.Time, orders *Orders) {
-	for _, t := range tasks {
+// placeSuspects places the suspected tasks, each on a host where nothing else is starting.
+func (p *Pool) placeSuspects(now time.Time, orders *Orders) {
+	for _, t := range p.startableSuspects(now) {
 		if t.step.job.NeedsPlacementCheck {
 			if q, ok := p.placementQuery(t.step, now); ok {
 				orders.PlacementQueries = append(orders.PlacementQueries, q)
@@ -116,29 +116,22 @@
 	}
 }
 
-// startableSuspects returns the suspected tasks that may be started, the most urgent first, and
-// apart from them those whose results come too late, which must not keep hosts from others.
-func (p *Pool) startableSuspects(now time.Time) (inTime, tooLate []*task) {
-	class := func(t *task) int { return t.step.job.class(t.step, t.step.job.objective(t.step.occurrence), now) }
+func (p *Pool) startableSuspects(now time.Time) []*task {
+	var tasks []*task
 	for t := range p.suspects {
-		switch {
-		case !t.needsTrial() || !t.startable(now):
-		case class(t) == classTooLate:
-			tooLate = append(tooLate, t)
-		default:
-			inTime = append(inTime, t)
+		if t.needsTrial() && t.startable(now) {
+			tasks = append(tasks, t)
 		}
 	}
-	for _, tasks := range [][]*task{inTime, tooLate} {
-		slices.SortFunc(tasks, func(a, b *task) int {
-			return cmp.Or(
-				cmp.Compare(class(a), class(b)),
-				a.step.job.objective(a.step.occurrence).Compare(b.step.job.objective(b.step.occurrence)),
-				cmp.Compare(a.name().String(), b.name().String()),
-			)
-		})
-	}
-	return inTime, tooLate
+	class := func(t *task) int { return t.step.job.class(t.step, t.step.job.objective(t.step.occurrence), now) }
+	slices.SortFunc(tasks, func(a, b *task) int {
+		return cmp.Or(
+			cmp.Compare(class(a), class(b)),
+			a.step.job.objective(a.step.occurrence).Compare(b.step.job.objective(b.step.occurrence)),
+			cmp.Compare(a.name().String(), b.name().String()),
+		)
+	})
+	return tasks
 }
 
 // trialHost returns the best host for a run of a suspected task, or nil: one on which little
