Emulator: a late start reaches a restarted worker once an owner knows that

What the emulator got wrong: it carried a start without an answer out on the worker's next incarnation once that was 5 s old, by when an owner was taken to have reached it. Change: it is carried out there once an owner has renewed the worker's lease 5 s before. While the log is there that is as long as before, but for the 0.1 s until an owner has read the worker's report. The check is unchanged.

--- a/internal/emulator/site/worker.go
+++ b/internal/emulator/site/worker.go
@@ -34,7 +34,9 @@
 	// capacityReportedAt is when the present capacity was first reported, zero before.
 	capacityReportedAt time.Time
 
-	startedAt   time.Time
+	startedAt time.Time
+	// contactedAt is when an owner first renewed the lease.
+	contactedAt time.Time
 	incarnation worker.Incarnation
 	dead        bool
 	draining    bool
@@ -97,8 +99,15 @@
 	return time.Second + time.Duration(w.clockRate*float64(time.Since(w.startedAt)))
 }
 
-// age returns for how long the worker has run.
-func (w *Worker) age() time.Duration { return time.Since(w.startedAt) }
+// contactedFor returns how long ago an owner first renewed the worker's lease, 0 before.
+func (w *Worker) contactedFor() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.contactedAt.IsZero() {
+		return 0
+	}
+	return time.Since(w.contactedAt)
+}
 
 // report returns the report that the worker publishes in the log.
 func (w *Worker) report() worker.Report {
@@ -277,6 +286,9 @@
 	if o.Token < w.token {
 		return worker.RenewalReply{Fenced: true, Clock: w.clock(), Incarnation: w.incarnation}, nil
 	}
+	if w.contactedAt.IsZero() {
+		w.contactedAt = time.Now()
+	}
 	w.token = o.Token
 	w.recordExpiry()
 	w.endedRuns = slices.DeleteFunc(w.endedRuns, func(e worker.EndedRun) bool {
--- a/internal/emulator/site/worker_access.go
+++ b/internal/emulator/site/worker_access.go
@@ -16,7 +16,8 @@
 	// minLateDelay and maxLateDelay bound the delay with which an order that gets no
 	// answer is carried out.
 	minLateDelay, maxLateDelay = 2 * time.Second, 12 * time.Second
-	// reachTime is how long after its start an owner has reached a worker, beside lost orders.
+	// reachTime is the time within which an owner has stopped what it must on a worker that it
+	// knows, beside lost orders.
 	reachTime = 5 * time.Second
 )
 
@@ -44,8 +45,8 @@
 
 // losesAnswer decides at random whether an order gets no answer, and reports that. It
 // then schedules the order's late delivery and blocks until ctx ends. A late stop reaches the
-// incarnation that then has the worker's ID, a late start as well once that is reachTime old: sooner,
-// nobody can prevent it.
+// incarnation that then has the worker's ID, a late start as well once an owner has known that for
+// reachTime: sooner, nobody can prevent it.
 func (a *workerAccess) losesAnswer(ctx context.Context, w *Worker, deliver func()) bool {
 	if !a.site.chance(a.site.lostOrderShare(w.machine)) {
 		return false
@@ -62,7 +63,7 @@
 		return worker.StartReply{}, err
 	}
 	if a.losesAnswer(ctx, w, func() {
-		if last := a.site.worker(target.ID); last.alive() && (last == w || last.age() > reachTime) {
+		if last := a.site.worker(target.ID); last.alive() && (last == w || last.contactedFor() > reachTime) {
 			last.start(o, a.host.Name, true)
 		}
 	}) {
