Emulator: stops of a sound job that was given up count

Change: such stops are excused only if a task under which the workers crashed is deadly. The new case "sound" of TestStopsOfAJobThatIsKeptAreExcused failed before; the others are as they were.

--- a/internal/emulator/site/ledger_avail.go
+++ b/internal/emulator/site/ledger_avail.go
@@ -57,10 +57,12 @@
 	s.lastStops = append(s.lastStops, violation)
 }
 
-// mayBeGivenUp reports whether enough workers have crashed under a task of a job.
+// mayBeGivenUp reports whether enough workers have crashed under a deadly task of a job. Others may
+// fail for their crashes as well, but what they still run counts until its end.
 func (l *Ledger) mayBeGivenUp(id string) bool {
+	s := l.jobs[job.ID(id)]
 	for name, h := range l.tasks {
-		if name.Job == id && h.crashedUnder >= crashesToFail {
+		if name.Job == id && h.crashedUnder >= crashesToFail && s.actual[name.Step].deadly[name.Index] {
 			return true
 		}
 	}
--- a/internal/emulator/site/ledger_test.go
+++ b/internal/emulator/site/ledger_test.go
@@ -16,10 +16,10 @@
 	step *job.Step
 }
 
-func newServingLedger() servingLedger {
+func newServingLedger(deadly map[int]bool) servingLedger {
 	j := &job.Job{ID: JobID(1), Pool: "maps", Steps: []job.Step{{Tasks: 3, LongRunning: true, MaxUnavailable: 1}}, MaxAttempts: 3}
 	l := servingLedger{newLedger(), &j.Steps[0]}
-	l.submit(j, []taskBehaviour{{step: l.step}})
+	l.submit(j, []taskBehaviour{{step: l.step, deadly: deadly}})
 	l.accepted(j.ID)
 	for index := range l.step.Tasks {
 		l.start(index, 1)
@@ -54,18 +54,20 @@
 func TestStopsOfAJobThatIsKeptAreExcused(t *testing.T) {
 	violation := []string{"avail: a stop ended " + servingTask(2).String() + " on w while 1 others of its step were unavailable"}
 	for name, test := range map[string]struct {
+		deadly  bool
 		crashes int64
 		after   func(servingLedger)
 		want    []string
 	}{
-		"given up":             {crashesToFail, func(l servingLedger) { l.shown(JobID(1), job.Failed, true) }, nil},
-		"running":              {crashesToFail, func(l servingLedger) { l.shown(JobID(1), job.Running, true) }, violation},
-		"not asked":            {crashesToFail, func(servingLedger) {}, violation},
-		"too few crashes":      {crashesToFail - 1, func(servingLedger) {}, violation},
-		"given up after start": {crashesToFail, func(l servingLedger) { l.start(1, 2); l.shown(JobID(1), job.Failed, true) }, violation},
+		"given up":             {true, crashesToFail, func(l servingLedger) { l.shown(JobID(1), job.Failed, true) }, nil},
+		"sound":                {false, crashesToFail, func(l servingLedger) { l.shown(JobID(1), job.Failed, true) }, violation},
+		"running":              {true, crashesToFail, func(l servingLedger) { l.shown(JobID(1), job.Running, true) }, violation},
+		"not asked":            {true, crashesToFail, func(servingLedger) {}, violation},
+		"too few crashes":      {true, crashesToFail - 1, func(servingLedger) {}, violation},
+		"given up after start": {true, crashesToFail, func(l servingLedger) { l.start(1, 2); l.shown(JobID(1), job.Failed, true) }, violation},
 	} {
 		t.Run(name, func(t *testing.T) {
-			l := newServingLedger()
+			l := newServingLedger(map[int]bool{0: test.deadly})
 			for run := range test.crashes {
 				l.crash(0, 1+run)
 				l.start(0, 2+run)
@@ -83,7 +85,7 @@
 
 // TestServingJobFailsByItsAttempts: a long-running job may not fail, however often its tasks do.
 func TestServingJobFailsByItsAttempts(t *testing.T) {
-	l := newServingLedger()
+	l := newServingLedger(nil)
 	for run := range int64(3) {
 		l.ended(nil, runKey{servingTask(0), 1 + run}, worker.OutcomeFailed)
 		l.start(0, 2+run)
