--- a/internal/coordination/owner/keeper.go
+++ b/internal/coordination/owner/keeper.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -30,13 +29,8 @@
 	// a multiple of the last one's duration. The timeout doubles with each failure, since the log
 	// may have become slow.
 	joinLatencyFactor = 8
-	// leaveInterval is how often the leave is repeated while the host may be a member all the same.
-	leaveInterval = 300 * time.Millisecond
 	// idleInterval is how often a host that does not stand looks whether it does.
 	idleInterval = time.Minute
-	// lateCallTime is how long a call without an answer may still be carried out. A join that is
-	// carried out after the leave makes the host a member again.
-	lateCallTime = 10 * time.Second
 )
 
 // Group assigns partitions to its members.
@@ -119,12 +113,6 @@
 	}
 }
 
-// Resign releases all partitions and leaves the group until Stand is called again. If the
-// log does not answer, the membership expires by itself.
-func (k *Keeper) Resign(ctx context.Context) error {
-	return k.leave(ctx, func() { k.stands = false })
-}
-
 // Confirmed returns when the last successful renewal was sent.
 func (k *Keeper) Confirmed() time.Time {
 	k.mu.Lock()
@@ -252,66 +240,6 @@
 	return join{a, sent, k.now().Sub(sent)}, nil
 }
 
-func (k *Keeper) apply(before []keyedlog.Partition, a keyedlog.Assignment, gap bool) bool {
-	released := false
-	for _, p := range before {
-		if gap || !slices.Contains(a.Partitions, p) {
-			k.release(p)
-			k.events.Event("partition-released", "topic", p.Topic, "partition", p.Number, "generation", a.Generation, "gap", gap)
-			released = true
-		}
-	}
-	for _, p := range a.Partitions {
-		if gap || !slices.Contains(before, p) {
-			k.events.Event("partition-acquired", "topic", p.Topic, "partition", p.Number, "token", a.Generation)
-			k.acquire(p, a.Generation)
-		}
-	}
-	return released
-}
-
-// acquire begins a tenure. The caller holds callLock.
-func (k *Keeper) acquire(p keyedlog.Partition, token int64) {
-	k.tokens[p] = token
-	k.holder.Acquire(p, token)
-}
-
-// release ends a tenure. The caller holds callLock.
-func (k *Keeper) release(p keyedlog.Partition) {
-	delete(k.tokens, p)
-	k.holder.Release(p)
-}
-
-// Reacquire replaces the tenure with the given token, because a later owner of the partition
-// was seen; it does nothing if that tenure has ended. The new tenure begins at once if a newer
-// generation is known, and otherwise with the next join; its token is the newest generation.
-func (k *Keeper) Reacquire(p keyedlog.Partition, token int64) {
-	// The lock keeps out a renewal that releases the partition at the same time.
-	k.callLock <- struct{}{}
-	defer func() { <-k.callLock }()
-	if held, ok := k.tokens[p]; !ok || held != token {
-		return
-	}
-	k.mu.Lock()
-	generation := k.generation
-	if generation <= token {
-		// The next join acquires it again with the then current generation.
-		k.held = slices.DeleteFunc(slices.Clone(k.held), func(o keyedlog.Partition) bool { return o == p })
-	}
-	k.mu.Unlock()
-	k.release(p)
-	if generation > token {
-		k.acquire(p, generation)
-	}
-}
-
-// errLeft is returned by renew after Leave, once the host can't become a member again, and ends
-// Run; errNotStanding is returned while the host does not want to be a member.
-var (
-	errLeft        = errors.New("the member has left the group")
-	errNotStanding = errors.New("the host does not stand for ownership")
-)
-
 func (k *Keeper) membershipWanted() error {
 	now := k.now()
 	k.mu.Lock()
@@ -326,32 +254,6 @@
 	}
 }
 
-// mayBeMember reports whether the group may count the host as a member, or do so again, although
-// it has left. The lock is held.
-func (k *Keeper) mayBeMember(now time.Time) bool {
-	return k.leaveUnconfirmed || now.Before(k.mayRejoinUntil)
-}
-
-// stayOut waits until the host stands again. It repeats the leave while the group may count the
-// host as a member, since partitions that are assigned to it have no owner.
-func (k *Keeper) stayOut(ctx context.Context) {
-	k.mu.Lock()
-	again := k.mayBeMember(k.now())
-	k.mu.Unlock()
-	if !again {
-		k.awaitChange(ctx, idleInterval)
-		return
-	}
-	if k.awaitChange(ctx, leaveInterval) {
-		return
-	}
-	k.callLock <- struct{}{}
-	defer func() { <-k.callLock }()
-	if errors.Is(k.membershipWanted(), errNotStanding) {
-		_ = k.callLeave(ctx) // It is repeated.
-	}
-}
-
 // awaitChange waits for a change of what the host wants, for d at most, and reports whether there
 // was one or ctx has ended.
 func (k *Keeper) awaitChange(ctx context.Context, d time.Duration) bool {
@@ -366,60 +268,3 @@
 		return false
 	}
 }
-
-// Leave releases all partitions and leaves the group for good. Run repeats a leave without an
-// answer.
-func (k *Keeper) Leave(ctx context.Context) error {
-	return k.leave(ctx, func() { k.left = true })
-}
-
-// leave releases all partitions, marks the membership as ended, and leaves the group.
-func (k *Keeper) leave(ctx context.Context, mark func()) error {
-	k.callLock <- struct{}{}
-	defer func() { <-k.callLock }()
-	k.mu.Lock()
-	held, member := k.held, k.stands
-	k.held, k.generation, k.joined = nil, 0, false
-	mark()
-	k.mu.Unlock()
-	for _, p := range held {
-		k.release(p)
-	}
-	defer k.wake()
-	if !member {
-		return nil
-	}
-	return k.callLeave(ctx)
-}
-
-// endFormerMembership repeats the last leave if it has no answer. Otherwise a join could continue the
-// former membership, and its tenures would begin again with the same tokens, so that workers could
-// not tell their orders apart. The caller holds callLock.
-func (k *Keeper) endFormerMembership(ctx context.Context) error {
-	k.mu.Lock()
-	unconfirmed := k.leaveUnconfirmed
-	if unconfirmed {
-		k.failures++
-	}
-	k.mu.Unlock()
-	if !unconfirmed {
-		return nil
-	}
-	return k.callLeave(ctx)
-}
-
-// callLeave asks the group to remove the member. The call lock is held.
-func (k *Keeper) callLeave(ctx context.Context) error {
-	k.mu.Lock()
-	ctx, cancel := context.WithTimeout(ctx, k.timeout())
-	wait := k.repeatWait()
-	k.mu.Unlock()
-	defer cancel()
-	_, err := hedge.Do(ctx, wait, func(ctx context.Context, _ int) (struct{}, error) {
-		return struct{}{}, k.group.Leave(ctx, k.request.Group, k.request.Member)
-	})
-	k.mu.Lock()
-	k.leaveUnconfirmed = err != nil
-	k.mu.Unlock()
-	return err
-}
