--- a/internal/coordination/owner/keeper_test.go
+++ b/internal/coordination/owner/keeper_test.go
@@ -86,24 +86,33 @@
 	change()
 }
 
+// startKeeper runs a keeper that stands, until stop is called.
+func startKeeper(t *testing.T, g Group, h *recordingHolder) (k *Keeper, stop func()) {
+	t.Helper()
+	k = New(g, h, h, time.Now, keyedlog.JoinRequest{Group: "g", Member: "m", TTL: 1200 * time.Millisecond})
+	k.Stand()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		k.Run(ctx)
+	}()
+	return k, func() {
+		cancel()
+		<-done
+	}
+}
+
 func withKeeper(t *testing.T, run func(t *testing.T, g *fakeGroup, h *recordingHolder, k *Keeper)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		g, h := &fakeGroup{}, &recordingHolder{}
 		g.assignment = keyedlog.Assignment{Generation: 3, Partitions: partitions(0, 1)}
-		k := New(g, h, h, time.Now, keyedlog.JoinRequest{Group: "g", Member: "m", TTL: 1200 * time.Millisecond})
-		k.Stand()
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			k.Run(ctx)
-		}()
+		k, stop := startKeeper(t, g, h)
+		defer stop()
 		time.Sleep(time.Second)
 		h.want(t, "acquire 0 with 3", "acquire 1 with 3")
 		run(t, g, h, k)
-		cancel()
-		<-done
 	})
 }
 
--- a/internal/coordination/owner/leave_test.go
+++ b/internal/coordination/owner/leave_test.go
@@ -86,18 +86,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		// No join is carried out at the time of a leave, so that samples show each absence.
 		g, h := &lateGroup{lateBy: 3070 * time.Millisecond}, &recordingHolder{}
-		k := New(g, h, h, time.Now, keyedlog.JoinRequest{Group: "g", Member: "m", TTL: 1200 * time.Millisecond})
-		k.Stand()
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			k.Run(ctx)
-		}()
+		k, stop := startKeeper(t, g, h)
+		defer stop()
 		time.Sleep(time.Second)
 		run(t, g, k)
-		cancel()
-		<-done
 	})
 }
 
@@ -206,14 +198,8 @@
 func TestNoTwoTenuresWithOneToken(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g, h := &tenureGroup{generation: 3}, &recordingHolder{}
-		k := New(g, h, h, time.Now, keyedlog.JoinRequest{Group: "g", Member: "m", TTL: 1200 * time.Millisecond})
-		k.Stand()
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			k.Run(ctx)
-		}()
+		k, stop := startKeeper(t, g, h)
+		defer stop()
 		time.Sleep(time.Second)
 		g.set(true)
 		if err := k.Resign(t.Context()); err == nil {
@@ -224,7 +210,5 @@
 		g.set(false)
 		time.Sleep(2 * time.Second)
 		h.want(t, "acquire 0 with 3", "release 0", "acquire 0 with 4")
-		cancel()
-		<-done
 	})
 }
--- a/internal/coordination/owner/lost_answers_test.go
+++ b/internal/coordination/owner/lost_answers_test.go
@@ -55,17 +55,9 @@
 		h := &recordingHolder{}
 		g.assignment = keyedlog.Assignment{Generation: 3, Partitions: partitions(0)}
 		g.answeredAt = time.Now()
-		k := New(g, h, h, time.Now, keyedlog.JoinRequest{Group: "g", Member: "m", TTL: 1200 * time.Millisecond})
-		k.Stand()
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			k.Run(ctx)
-		}()
+		_, stop := startKeeper(t, g, h)
+		defer stop()
 		time.Sleep(30 * time.Second)
-		cancel()
-		<-done
 	})
 }
 
