New connections share a turn of their poller

An owner dials hundreds of workers; with a busy poller the last ones waited for longer than their calls may take, the calls failed, their connections were closed, and more were dialled. TestNewConnectionsQueueForTurnsOfTheirPoller did not end before (60 s). Change: all connections that begin to wait while a byte is under way wait for the next one together. Why it works: a turn that begins after the call is what each of them needs.

--- a/internal/transport/httpconn/probe.go
+++ b/internal/transport/httpconn/probe.go
@@ -13,10 +13,20 @@
 
 // probe is a pair of sockets. A poller reads from the far one and returns each byte.
 type probe struct {
-	far *nbio.Conn
-
-	mu   sync.Mutex
+	far  *nbio.Conn
 	near net.Conn
+
+	mu sync.Mutex
+	// next is the turn that the next byte waits for, nil if nobody waits for it.
+	next *turn
+	// busy is set while a byte is under way.
+	busy bool
+}
+
+// turn is one turn of a poller's loop.
+type turn struct {
+	begun chan struct{}
+	err   error
 }
 
 // newProbe makes a probe for one of a number of pollers. nbio chooses the poller of a
@@ -54,10 +64,38 @@
 }
 
 // awaitTurn returns once the poller's loop has begun a turn that was not under way at the
-// call, or fails once the poller is stopped.
+// call, or fails once the poller is stopped. All that wait at the same time share a turn.
 func (p *probe) awaitTurn() error {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	if p.next == nil {
+		p.next = &turn{begun: make(chan struct{})}
+	}
+	t := p.next
+	if !p.busy {
+		p.busy = true
+		go p.run()
+	}
+	p.mu.Unlock()
+	<-t.begun
+	return t.err
+}
+
+// run sends a byte to the poller for each turn that somebody waits for.
+func (p *probe) run() {
+	for {
+		p.mu.Lock()
+		t := p.next
+		p.next, p.busy = nil, t != nil
+		p.mu.Unlock()
+		if t == nil {
+			return
+		}
+		t.err = p.echo()
+		close(t.begun)
+	}
+}
+
+func (p *probe) echo() error {
 	one := make([]byte, 1)
 	if _, err := p.near.Write(one); err != nil {
 		return errors.Wrap(err, "write to a poller")
