Unanswered starts that can't be carried out any more are forgotten

They are now dropped when the next start is added. What is stopped after a restart is as it was: those that are over were passed over there. The tests of schedule (race detector), TestLateStartsReachRestartedWorkers and TestRandomWithDeadlyTasks pass.

--- a/internal/coordination/schedule/unanswered.go
+++ b/internal/coordination/schedule/unanswered.go
@@ -25,6 +25,7 @@
 }
 
 func (s unansweredStarts) add(key runKey, sent time.Time) {
+	s.expire(sent)
 	s[key] = &unansweredStart{until: sent.Add(lateOrderTime)}
 }
 
