--- a/internal/coordination/schedule/crash.go
+++ b/internal/coordination/schedule/crash.go
@@ -145,7 +145,7 @@
 }
 
 // uncertain reports whether the host may have ended otherwise, or later, than by a crash under the
-// runs that were starting: it was cut off or about to be ordered away, or only its silence tells.
+// runs that were starting: it was cut off or about to be ordered away, or only its silence is known.
 func (h *host) uncertain(now time.Time) bool {
 	return h.wasCutOff() || h.leaving || !now.Before(h.expiry)
 }
--- a/internal/coordination/schedule/lapsed.go
+++ b/internal/coordination/schedule/lapsed.go
@@ -9,7 +9,7 @@
 const lapsedRetention = 2 * time.Minute
 
 // keepLapsed keeps the starting runs of a silent host whose leases have expired. Its worker may
-// have crashed; only the list of machines or an answer tells. One that was cut off has ended them
+// have crashed, which only the list of machines or an answer shows. One that was cut off has ended them
 // before it can crash.
 func (p *Pool) keepLapsed(h *host, now time.Time) {
 	if now.Sub(h.expiry) > lapsedRetention {
