--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,7 +24,8 @@
 type play func(root string, r *record, trouble bool) (broken bool, err error)
 
 var plays = map[string]play{
-	"moved-queue": movedQueue,
+	"gang-checkpoints": gangCheckpoints,
+	"moved-queue":      movedQueue,
 }
 
 func main() {
