--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,6 +26,7 @@
 var plays = map[string]play{
 	"gang-checkpoints": gangCheckpoints,
 	"moved-queue":      movedQueue,
+	"rough-estimates":  roughEstimates,
 }
 
 func main() {
