--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,7 @@
 
 var plays = map[string]play{
 	"gang-checkpoints": gangCheckpoints,
+	"advice-burst":     adviceBurst,
 	"moved-queue":      movedQueue,
 	"rough-estimates":  roughEstimates,
 }
