--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,6 +27,7 @@
 	"gang-checkpoints": gangCheckpoints,
 	"advice-burst":     adviceBurst,
 	"moved-queue":      movedQueue,
+	"large-job":        largeJob,
 	"rough-estimates":  roughEstimates,
 }
 
