--- a/review/standin/advice.go
+++ b/review/standin/advice.go
@@ -84,13 +84,20 @@
 	answer(w, http.StatusOK, map[string]any{"good": rows, "valid-ms": a.validTime.Milliseconds()})
 }
 
+// require makes the workers of a service ask for a ticket with each start.
+func (a *advice) require(service string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.services[service] = true
+}
+
 // admits reports whether a worker may start a task with a ticket.
 func (a *advice) admits(w *worker, task, ticket string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	if !a.services[w.service] {
 		return true
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
 	prefix := task[:strings.LastIndex(task, ".")] + "/" + w.id + "/"
 	return strings.HasPrefix(ticket, prefix) && time.Now().Before(a.tickets[ticket])
 }
--- a/review/standin/case_advice.go
+++ b/review/standin/case_advice.go
@@ -25,7 +25,7 @@
 		return false, err
 	}
 	s.advice.decide, s.advice.each, s.advice.validTime = adviceDecide, adviceEach, adviceValid
-	s.advice.services["calibsvc"] = true
+	s.advice.require("calibsvc")
 	s.configure([]route{{"r-calib", advicePrefix, "calibsvc", true}})
 	if err := s.awaitReady(); err != nil {
 		return false, err
@@ -45,7 +45,7 @@
 	}
 	r.say("%d jobs are accepted, the traffic ends", len(jobs))
 	time.Sleep(finishTime)
-	longest := s.watchIdle(jobs, watchTime)
+	longest := s.watchIdle(jobs)
 	s.reportIdle(advicePrefix, jobs, longest)
 	if s.ended() {
 		return false, errEnded
--- a/review/standin/case_large.go
+++ b/review/standin/case_large.go
@@ -10,7 +10,7 @@
 	largePrefix = "/tije37/"
 	largeTasks  = 9000
 	smallTasks  = 300
-	largeWork   = 20 * time.Second
+	largeWork   = 90 * time.Second
 	laterJobs   = 24
 )
 
@@ -53,14 +53,14 @@
 		}()
 	}
 	r.say("the traffic ends")
-	time.Sleep(finishTime + largeWork)
+	time.Sleep(finishTime)
 	r.say("%d starts of the large job, %d appends refused as too large", s.registry.startsOf(large.id), s.store.refusals())
 	all := []*submission{large}
 	for len(accepted) > 0 {
 		all = append(all, <-accepted)
 	}
 	r.say("%d of %d later jobs were accepted", len(all)-1, laterJobs)
-	longest := s.watchIdle(all, watchTime/2)
+	longest := s.watchIdle(all)
 	s.reportIdle(largePrefix, all, longest)
 	if s.ended() {
 		return false, errEnded
--- a/review/standin/case_rough.go
+++ b/review/standin/case_rough.go
@@ -42,7 +42,7 @@
 	}
 	r.say("%d jobs are accepted, the traffic ends", len(jobs))
 	time.Sleep(finishTime)
-	longest := s.watchIdle(jobs, watchTime)
+	longest := s.watchIdle(jobs)
 	s.reportIdle(roughPrefix, jobs, longest)
 	if s.ended() {
 		return false, errEnded
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -40,6 +40,7 @@
 	mu       sync.Mutex
 	machines []*machine
 	lives    int
+	crashes  int
 }
 
 type machine struct {
@@ -97,6 +98,7 @@
 			continue
 		}
 		m.state, m.worker = "down", nil
+		f.crashes++
 		w.crash()
 		time.AfterFunc(missedBeats*beatInterval, func() { f.store.put("keyed.servers", w.id, nil) })
 		time.AfterFunc(back, func() {
@@ -233,3 +235,10 @@
 	defer f.mu.Unlock()
 	return f.machines[0].worker != nil && f.machines[0].worker.id == id
 }
+
+// crashCount returns how many workers have crashed.
+func (f *fleet) crashCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crashes
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,6 +27,9 @@
 	"gang-checkpoints": gangCheckpoints,
 	"advice-burst":     adviceBurst,
 	"moved-queue":      movedQueue,
+	"advice-added":     adviceAdded,
+	"wide-bounds":      wideBounds,
+	"late-crashes":     lateCrashes,
 	"large-job":        largeJob,
 	"rough-estimates":  roughEstimates,
 }
--- a/review/standin/registry.go
+++ b/review/standin/registry.go
@@ -23,6 +23,8 @@
 	Apart int `json:"anti-affinity,omitempty"`
 
 	work time.Duration
+	// deadlyAfter is how long after its start a task crashes its worker, 0 if it does not.
+	deadlyAfter time.Duration
 }
 
 // submission is a job that a client hands in.
--- a/review/standin/watch.go
+++ b/review/standin/watch.go
@@ -13,14 +13,14 @@
 )
 
 // watchIdle returns for each job the longest time in which it was not done and nothing of it ran.
-func (s *site) watchIdle(jobs []*submission, span time.Duration) []time.Duration {
+func (s *site) watchIdle(jobs []*submission) []time.Duration {
 	longest := make([]time.Duration, len(jobs))
 	lastBusy := make([]time.Time, len(jobs))
 	began := time.Now()
 	for n := range lastBusy {
 		lastBusy[n] = began
 	}
-	for time.Since(began) < span {
+	for time.Since(began) < watchTime {
 		for n, job := range jobs {
 			if s.registry.runsOrIsDone(job) {
 				lastBusy[n] = time.Now()
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -225,6 +225,9 @@
 	w.runs[key] = r
 	w.fleet.registry.started(w.id, w.service, r)
 	answer(out, http.StatusOK, map[string]any{"clock-ms": w.clock()})
+	if step.deadlyAfter > 0 {
+		time.AfterFunc(step.deadlyAfter, func() { w.fleet.crash(w, backAfter) })
+	}
 	if !step.Gang {
 		r.work()
 		return
