A queue's new jobs are taken by the partition that has claimed it

Cause: the pool came from the configuration of the entry host that got the request; the owner of the new pool had never read the job. Related paths, each shown by a test: a repeat in the same partition replaced the job's record, so that the next owner ran it in the other pool; a job was unknown once the configuration had dropped its pool; the count of waiting jobs left out the former pool. Evidence: job-submitted with the new pool, job-taken and run-start on its owner. Change: an owner takes new jobs of a queue only once all other partitions have recorded that they take no more of them (design 0015). Jobs that reach a former partition later are forwarded, jobs that it has stay there. States and cancels go by partition. Why it works: the releases are records of the released partitions, fenced by their owners' tokens, so that one partition takes the queue's jobs at a time, whatever version an entry host uses; what was taken before is found before a copy starts.

--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -23,14 +23,17 @@
 // Recorder adds records to the log. Its errors carry a verdict.
 type Recorder interface {
 	Submit(ctx context.Context, j *job.Job) error
-	Cancel(ctx context.Context, pool string, id job.ID) error
+	Cancel(ctx context.Context, partition int, id job.ID) error
 }
 
-// OwnerClient queries the owner of a pool; ok is false while the owner is unknown or
-// unavailable, or has not read all its records.
+// OwnerClient queries the owners of the partitions that hold the pools' jobs; ok is false while
+// an owner is unknown or unavailable, or has not read all its records.
 type OwnerClient interface {
-	State(ctx context.Context, pool string, id job.ID) (state job.State, known, ok bool)
-	Waiting(ctx context.Context, pool, queue string) (waiting int, ok bool)
+	// Partitions returns all partitions, that of a pool first.
+	Partitions(pool string) []int
+	State(ctx context.Context, partition int, id job.ID) (state job.State, known, ok bool)
+	// Waiting takes the address of a queue.
+	Waiting(ctx context.Context, queue string) (waiting int, ok bool)
 }
 
 // Events logs one structured line per request.
@@ -56,7 +59,7 @@
 func (i *Intake) Submit(ctx context.Context, version int64, q *queue.Queue, j *job.Job) error {
 	j.Queue, j.Pool, j.Priority, j.MaxAttempts = q.Name, q.Pool, q.Priority, max(1, q.MaxAttempts)
 	j.Stretch, j.LatencyTarget, j.NeedsPlacementCheck = q.Stretch, q.LatencyTarget, q.NeedsPlacementCheck
-	j.AcceptedAt = i.now()
+	j.QueueAddress, j.ConfigVersion, j.AcceptedAt = q.Address(), version, i.now()
 	if err := j.Validate(); err != nil {
 		i.events.Event("job-refused", "job", j.ID, "queue", q.Name, "config", version, "error", err)
 		return verdict.NotRunError(verdict.CauseBadRequest, err.Error())
@@ -68,10 +71,10 @@
 }
 
 // State returns a job's state, and whether the job is known. A job is unknown only if the
-// owners of all pools say so, since the queue may have been moved to another pool.
+// owners of all partitions say so, since the queue may have been moved to another pool.
 func (i *Intake) State(ctx context.Context, c *queue.Configuration, q *queue.Queue, id job.ID) (job.State, bool, error) {
 	for {
-		found, ok := i.search(ctx, c, q, id)
+		found, ok := i.search(ctx, q, id)
 		if found.known || ok {
 			i.events.Event("state-asked", "job", id, "queue", q.Name, "config", c.Version, "state", found.state, "known", found.known)
 			return found.state, found.known, nil
@@ -83,38 +86,34 @@
 	}
 }
 
-// jobLookup is the result of a search for a job: its state and the pool that has it.
+// jobLookup is the result of a search for a job: its state and the partition that has it.
 type jobLookup struct {
-	pool  string
-	state job.State
-	known bool
+	partition int
+	state     job.State
+	known     bool
 }
 
-// search queries the owner of the queue's pool first, then those of the other pools; ok is
+// search queries the owner of the queue's partition first, then those of the others; ok is
 // true if all queried owners have answered.
-func (i *Intake) search(ctx context.Context, c *queue.Configuration, q *queue.Queue, id job.ID) (jobLookup, bool) {
-	state, known, ok := i.owners.State(ctx, q.Pool, id)
-	if known || !ok {
-		return jobLookup{q.Pool, state, known}, ok
-	}
-	for n := range c.Pools {
-		pool := c.Pools[n].Name
-		if pool == q.Pool || c.Pools[n].Spare {
-			continue
-		}
-		state, known, answered := i.owners.State(ctx, pool, id)
-		if known {
-			return jobLookup{pool, state, true}, true
+func (i *Intake) search(ctx context.Context, q *queue.Queue, id job.ID) (jobLookup, bool) {
+	all := true
+	for n, partition := range i.owners.Partitions(q.Pool) {
+		state, known, ok := i.owners.State(ctx, partition, id)
+		switch {
+		case known:
+			return jobLookup{partition, state, true}, true
+		case !ok && n == 0:
+			return jobLookup{}, false
 		}
-		ok = ok && answered
+		all = all && ok
 	}
-	return jobLookup{}, ok
+	return jobLookup{}, all
 }
 
 // Cancel records the cancel of a job unless the job has ended; it returns false if there is
 // no such job.
 func (i *Intake) Cancel(ctx context.Context, c *queue.Configuration, q *queue.Queue, id job.ID) (bool, error) {
-	found, ok := i.search(ctx, c, q, id)
+	found, ok := i.search(ctx, q, id)
 	if ok && !found.known {
 		i.events.Event("cancel-unknown", "job", id, "queue", q.Name, "config", c.Version)
 		return false, nil
@@ -122,22 +121,18 @@
 	if found.state.Ended() {
 		return true, nil
 	}
-	err := i.cancelIn(ctx, c, found, id)
+	err := i.cancelIn(ctx, q, found, id)
 	i.events.Event("cancel-asked", "job", id, "queue", q.Name, "config", c.Version, "state", found.state, "known", found.known, "error", err)
 	return true, err
 }
 
-// cancelIn records the cancel in the pool that has the job, or in all pools if that is not
-// known.
-func (i *Intake) cancelIn(ctx context.Context, c *queue.Configuration, found jobLookup, id job.ID) error {
+// cancelIn records the cancel in the partition that has the job, or in all if that is not known.
+func (i *Intake) cancelIn(ctx context.Context, q *queue.Queue, found jobLookup, id job.ID) error {
 	if found.known {
-		return i.recorder.Cancel(ctx, found.pool, id)
+		return i.recorder.Cancel(ctx, found.partition, id)
 	}
-	for n := range c.Pools {
-		if c.Pools[n].Spare {
-			continue
-		}
-		if err := i.recorder.Cancel(ctx, c.Pools[n].Name, id); err != nil {
+	for _, partition := range i.owners.Partitions(q.Pool) {
+		if err := i.recorder.Cancel(ctx, partition, id); err != nil {
 			return err
 		}
 	}
@@ -147,7 +142,7 @@
 // Waiting returns the number of the queue's jobs of which no task has started.
 func (i *Intake) Waiting(ctx context.Context, q *queue.Queue) (int, error) {
 	for {
-		if waiting, ok := i.owners.Waiting(ctx, q.Pool, q.Name); ok {
+		if waiting, ok := i.owners.Waiting(ctx, q.Address()); ok {
 			return waiting, nil
 		}
 		if pause.For(ctx, ownerRetryPause) != nil {
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -172,7 +172,28 @@
 // markDirty marks a job as changed since its last record.
 func (p *Pool) markDirty(e *jobEntry) { p.dirty[e.ID] = e }
 
-// Waiting returns how many jobs of a queue have not ended and have no task that a host is
+// Holds reports whether the pool has any job of a queue, ended ones included.
+func (p *Pool) Holds(queue string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range p.jobs {
+		if e.QueueAddress == queue {
+			return true
+		}
+	}
+	return false
+}
+
+// RecordAgain has the progress of a job recorded, even if there is none.
+func (p *Pool) RecordAgain(id job.ID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e, ok := p.jobs[id]; ok {
+		p.markDirty(e)
+	}
+}
+
+// Waiting returns how many jobs of a queue, by its address, have not ended and have no task that a host is
 // known to have begun. A task that is only placed counts as waiting: its host may refuse it or
 // be cut off.
 func (p *Pool) Waiting(queue string) int {
@@ -180,7 +201,7 @@
 	defer p.mu.Unlock()
 	n := 0
 	for _, e := range p.openJobs() {
-		if e.Queue == queue && !e.begun {
+		if e.QueueAddress == queue && !e.begun {
 			n++
 		}
 	}
--- a/internal/emulator/site/callers.go
+++ b/internal/emulator/site/callers.go
@@ -66,7 +66,7 @@
 		c := h.Configuration()
 		q := queueNamed(c, queueName)
 		if !submitted {
-			j.Pool, j.MaxAttempts = q.Pool, q.MaxAttempts
+			j.Queue, j.Pool, j.MaxAttempts = queueName, q.Pool, q.MaxAttempts
 			s.ledger.submit(j, actual)
 			submitted = true
 		}
@@ -87,6 +87,47 @@
 	return false
 }
 
+// SubmitBy submits a job once, at an entry host that uses a configuration, and reports whether it
+// was accepted.
+func (s *Site) SubmitBy(c *queue.Configuration, queueName string, j *job.Job) bool {
+	h := s.randomReadyHost()
+	if h == nil {
+		return false
+	}
+	actual := make([]taskBehaviour, len(j.Steps))
+	for n := range j.Steps {
+		actual[n] = taskBehaviour{step: &j.Steps[n], duration: j.Steps[n].Estimate}
+	}
+	q := queueNamed(c, queueName)
+	sent := *j
+	sent.Queue, sent.Pool, sent.MaxAttempts = queueName, q.Pool, q.MaxAttempts
+	s.ledger.submit(&sent, actual)
+	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+	defer cancel()
+	again := *j
+	if err := h.Intake().Submit(ctx, c.Version, q, &again); err != nil {
+		return false
+	}
+	s.ledger.accepted(j.ID)
+	return true
+}
+
+// Waiting returns the number of a queue's jobs that wait, as an entry host shows it; -1 if it
+// doesn't.
+func (s *Site) Waiting(queueName string) int {
+	h := s.randomReadyHost()
+	if h == nil {
+		return -1
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+	defer cancel()
+	waiting, err := h.Intake().Waiting(ctx, queueNamed(h.Configuration(), queueName))
+	if err != nil {
+		return -1
+	}
+	return waiting
+}
+
 func queueNamed(c *queue.Configuration, name string) *queue.Queue {
 	n := slices.IndexFunc(c.Queues, func(q queue.Queue) bool { return q.Name == name })
 	return &c.Queues[n]
--- a/internal/emulator/site/ledger.go
+++ b/internal/emulator/site/ledger.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/queue"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
 
@@ -19,6 +20,8 @@
 	tasks      map[worker.TaskName]*taskHistory
 	orders     map[string]machineOrder
 	violations []string
+	// routes holds the pools to which the configurations send each queue.
+	routes map[string]map[string]bool
 	// Starts and Ends count runs, Moves and Maintained count accepted machine orders.
 	Starts, Ends, Moves, Maintained int
 }
@@ -96,7 +99,7 @@
 }
 
 func newLedger() *Ledger {
-	return &Ledger{jobs: map[job.ID]*submitted{}, cancels: map[job.ID]bool{}, tasks: map[worker.TaskName]*taskHistory{}, orders: map[string]machineOrder{}}
+	return &Ledger{jobs: map[job.ID]*submitted{}, cancels: map[job.ID]bool{}, tasks: map[worker.TaskName]*taskHistory{}, orders: map[string]machineOrder{}, routes: map[string]map[string]bool{}}
 }
 
 // Violations returns a message for each violation of a guarantee.
@@ -118,6 +121,19 @@
 	l.violations = append(l.violations, fmt.Sprintf(format, args...))
 }
 
+// configured records where a configuration sends its queues.
+func (l *Ledger) configured(c *queue.Configuration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for n := range c.Queues {
+		q := &c.Queues[n]
+		if l.routes[q.Name] == nil {
+			l.routes[q.Name] = map[string]bool{}
+		}
+		l.routes[q.Name][q.Pool] = true
+	}
+}
+
 func (l *Ledger) submit(j *job.Job, actual []taskBehaviour) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/emulator/site/ledger_tasks.go
+++ b/internal/emulator/site/ledger_tasks.go
@@ -67,8 +67,8 @@
 	if !late && !s.cancelled.IsZero() && time.Since(s.cancelled) > cancelGrace {
 		l.addViolation("unasked: %s was started %s after its job was cancelled", o.Task, time.Since(s.cancelled))
 	}
-	if w.pool != s.Pool {
-		l.addViolation("route: %s of pool %s was started in pool %s", o.Task, s.Pool, w.pool)
+	if !l.routes[s.Queue][w.pool] {
+		l.addViolation("route: %s of queue %s was started in pool %s", o.Task, s.Queue, w.pool)
 	}
 }
 
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -201,6 +201,7 @@
 	if err != nil {
 		return err
 	}
+	s.ledger.configured(c)
 	s.store.put(recordCodec{}.OperatorPartition(), keyedlog.Record{Key: keyConfig, Value: data})
 	return nil
 }
--- a/internal/jobhost/directory.go
+++ b/internal/jobhost/directory.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/hornbeammast/hornbeammast/internal/coordination/candidacy"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
@@ -108,9 +110,14 @@
 
 // ownerOf returns the peer address of a pool's owner, if that is another entry host.
 func (d *directory) ownerOf(ctx context.Context, pool string) (netip.AddrPort, bool) {
+	return d.ownerOfPartition(ctx, d.host.partitionOf(pool))
+}
+
+// ownerOfPartition returns the peer address of a partition's owner, if that is another entry host.
+func (d *directory) ownerOfPartition(ctx context.Context, partition keyedlog.Partition) (netip.AddrPort, bool) {
 	d.refresh(ctx, ownersMaxAge)
 	d.mu.Lock()
-	member, ok := d.owners[d.host.partitionOf(pool)]
+	member, ok := d.owners[partition]
 	d.mu.Unlock()
 	if !ok || member == d.member {
 		return netip.AddrPort{}, false
@@ -142,42 +149,126 @@
 	return found
 }
 
-// State returns a job's state from the owner of its pool. The first bool is false if there
+// Partitions returns the numbers of all partitions, that of the pool first.
+func (d *directory) Partitions(pool string) []int {
+	first := d.host.partitionOf(pool).Number
+	all := []int{first}
+	for n := range d.host.settings.Partitions {
+		if n != first {
+			all = append(all, n)
+		}
+	}
+	return all
+}
+
+// State returns a job's state from the owner of a partition. The first bool is false if there
 // is no such job, the second if the owner could not tell.
-func (d *directory) State(ctx context.Context, pool string, id job.ID) (job.State, bool, bool) {
-	if p, r, ok := d.host.ownedPool(pool); ok {
-		return p.state(ctx, r, id)
+func (d *directory) State(ctx context.Context, partition int, id job.ID) (job.State, bool, bool) {
+	return d.stateIn(ctx, partition, id, false)
+}
+
+// directState is the same without the partitions to which that one has forwarded the job.
+func (d *directory) directState(ctx context.Context, partition int, id job.ID) (job.State, bool, bool) {
+	return d.stateIn(ctx, partition, id, true)
+}
+
+func (d *directory) stateIn(ctx context.Context, partition int, id job.ID, direct bool) (job.State, bool, bool) {
+	if p, ok := d.host.actingPartition(partition); ok {
+		return p.state(ctx, id, direct)
+	}
+	request := &wire.JobStateRequest{Id: string(id), Partition: int32(partition), Direct: direct} //nolint:gosec // Below Partitions.
+	reply, err := askOwner(ctx, d, partition, d.host.peers.State, request)
+	if err != nil {
+		return "", false, false
+	}
+	return job.State(reply.GetState()), reply.GetState() != "", true
+}
+
+// releaseQueue has the owner of a partition release a queue.
+func (d *directory) releaseQueue(ctx context.Context, partition int, intake *wire.QueueIntake) (*wire.ReleaseQueueReply, error) {
+	if p, ok := d.host.actingPartition(partition); ok {
+		return p.releaseQueue(ctx, intake)
 	}
-	address, ok := d.ownerOf(ctx, pool)
+	request := &wire.ReleaseQueueRequest{Partition: int32(partition), Intake: intake} //nolint:gosec // Below Partitions.
+	return askOwner(ctx, d, partition, d.host.peers.ReleaseQueue, request)
+}
+
+// findJobs asks the owner of a partition which of some jobs it has taken.
+func (d *directory) findJobs(ctx context.Context, partition int, request *wire.FindJobsRequest) (*wire.FindJobsReply, error) {
+	if p, ok := d.host.actingPartition(partition); ok {
+		return p.findJobs(ctx, request.GetQueueAddress(), request.GetIds())
+	}
+	asked := &wire.FindJobsRequest{Partition: int32(partition), QueueAddress: request.GetQueueAddress(), Ids: request.GetIds()} //nolint:gosec // Below Partitions.
+	return askOwner(ctx, d, partition, d.host.peers.FindJobs, asked)
+}
+
+// ownerReply says whether the replier owns the partition that it was asked about.
+type ownerReply interface{ GetOwner() bool }
+
+var errNotOwner = errors.New("the owner of the partition is unknown or changes; try again")
+
+// askOwner sends a request to the owner of a partition, which is another entry host.
+func askOwner[Q any, A ownerReply](ctx context.Context, d *directory, partition int, call func(context.Context, netip.AddrPort, Q) (A, error), request Q) (A, error) {
+	var none A
+	address, ok := d.ownerOfPartition(ctx, jobsPartition(partition))
 	if !ok || d.unresponsive(address) {
 		d.invalidate()
-		return "", false, false
+		return none, errors.WithStack(errNotOwner)
 	}
-	reply, err := d.host.peers.State(ctx, address, &wire.JobStateRequest{Id: string(id), Pool: pool})
+	reply, err := call(ctx, address, request)
 	if err != nil {
 		d.markUnresponsive(address)
+		return none, err
 	}
-	if err != nil || !reply.GetOwner() {
+	if !reply.GetOwner() {
 		d.invalidate()
-		return "", false, false
+		return none, errors.WithStack(errNotOwner)
 	}
-	return job.State(reply.GetState()), reply.GetState() != "", true
+	return reply, nil
 }
 
-// Waiting returns the number of a queue's waiting jobs from the owner of its pool.
-func (d *directory) Waiting(ctx context.Context, pool, queue string) (int, bool) {
-	if _, r, ok := d.host.ownedPool(pool); ok {
-		return r.pool.Waiting(queue), true
+// Waiting returns the number of a queue's waiting jobs in all partitions: those that were accepted
+// before the queue went to another pool may wait in another one.
+func (d *directory) Waiting(ctx context.Context, queue string) (int, bool) {
+	owned := d.host.waitingInOwned(queue)
+	total := int(owned.GetWaiting())
+	answered := map[int32]struct{}{}
+	for _, n := range owned.GetPartitions() {
+		answered[n] = struct{}{}
 	}
-	address, ok := d.ownerOf(ctx, pool)
-	if !ok {
-		d.invalidate()
-		return 0, false
+	peers := d.ownerAddresses(ctx)
+	replies := make(chan *wire.WaitingReply, len(peers))
+	for _, address := range peers {
+		go func() {
+			reply, err := d.host.peers.Waiting(ctx, address, &wire.WaitingRequest{QueueAddress: queue})
+			if err != nil {
+				d.host.events.Event("peer-silent", "peer", address, "call", "waiting", "error", err)
+			}
+			replies <- reply
+		}()
+	}
+	for range peers {
+		reply := <-replies
+		total += int(reply.GetWaiting())
+		for _, n := range reply.GetPartitions() {
+			answered[n] = struct{}{}
+		}
 	}
-	reply, err := d.host.peers.Waiting(ctx, address, &wire.WaitingRequest{Queue: queue, Pool: pool})
-	if err != nil || !reply.GetOwner() {
+	if len(answered) < d.host.settings.Partitions {
 		d.invalidate()
 		return 0, false
 	}
-	return int(reply.GetWaiting()), true
+	return total, true
+}
+
+// waitingInOwned returns the number of a queue's waiting jobs in the owned partitions.
+func (h *JobHost) waitingInOwned(queue string) *wire.WaitingReply {
+	reply := &wire.WaitingReply{}
+	for n := range h.settings.Partitions {
+		if p, ok := h.actingPartition(n); ok {
+			reply.Waiting += int32(p.waiting(queue))              //nolint:gosec // Far below 2^31 jobs.
+			reply.Partitions = append(reply.Partitions, int32(n)) //nolint:gosec // Below Partitions.
+		}
+	}
+	return reply
 }
--- a/internal/jobhost/job_host.go
+++ b/internal/jobhost/job_host.go
@@ -233,21 +233,33 @@
 // Owns reports whether this entry host schedules a pool and its membership was confirmed
 // recently enough to act (mayAct).
 func (h *JobHost) Owns(pool string) bool {
-	_, _, ok := h.ownedPool(pool)
+	_, ok := h.ownedPool(pool)
 	return ok
 }
 
-// ownedPool returns a pool's partition and runner if this entry host owns and has loaded
-// them, and its membership was confirmed recently enough to act (mayAct).
-func (h *JobHost) ownedPool(pool string) (*partition, *poolRunner, bool) {
+// ownedPool returns a pool's runner if this entry host owns and has loaded
+// its partition, and its membership was confirmed recently enough to act (mayAct).
+func (h *JobHost) ownedPool(pool string) (*poolRunner, bool) {
 	h.mu.Lock()
 	p := h.partitions[h.partitionOf(pool)]
 	h.mu.Unlock()
 	if p == nil || !p.loaded.Load() || !h.mayAct(h.now()) {
-		return nil, nil, false
+		return nil, false
 	}
-	r, ok := p.loadedRunner(pool)
-	return p, r, ok
+	return p.loadedRunner(pool)
+}
+
+// actingPartition returns a partition of TopicJobs if this entry host owns and has loaded it, and
+// its membership was confirmed recently enough to act (mayAct).
+func (h *JobHost) actingPartition(number int) (*partition, bool) {
+	h.mu.Lock()
+	p := h.partitions[jobsPartition(number)]
+	h.mu.Unlock()
+	return p, p != nil && p.loaded.Load() && h.mayAct(h.now())
+}
+
+func jobsPartition(number int) keyedlog.Partition {
+	return keyedlog.Partition{Topic: TopicJobs, Number: number}
 }
 
 // refresh applies the published configuration and host reports to the owned pools.
--- a/internal/jobhost/loads.go
+++ b/internal/jobhost/loads.go
@@ -120,7 +120,7 @@
 // restrictOwned sets what hosts may be used for, and reports whether this entry host owns
 // the pool and knows all the hosts.
 func (h *JobHost) restrictOwned(pool string, hosts []worker.ID, use schedule.Use) bool {
-	_, r, ok := h.ownedPool(pool)
+	r, ok := h.ownedPool(pool)
 	if !ok || r.pool.Fenced() {
 		return false
 	}
@@ -132,7 +132,7 @@
 // restrict has the owner of a pool set what hosts may be used for, and reports whether it
 // has.
 func (h *JobHost) restrict(ctx context.Context, pool string, hosts []worker.ID, use schedule.Use) bool {
-	if _, _, ok := h.ownedPool(pool); ok {
+	if _, ok := h.ownedPool(pool); ok {
 		return h.restrictOwned(pool, hosts, use)
 	}
 	address, ok := h.directory.ownerOf(ctx, pool)
@@ -150,7 +150,7 @@
 // markGoneOwned marks a worker as ended that was last seen at lastSeen, and returns false if this
 // entry host does not own the pool.
 func (h *JobHost) markGoneOwned(pool string, id worker.ID, lastSeen time.Time) bool {
-	_, r, ok := h.ownedPool(pool)
+	r, ok := h.ownedPool(pool)
 	if !ok || r.pool.Fenced() {
 		return false
 	}
--- a/internal/jobhost/log_recorder.go
+++ b/internal/jobhost/log_recorder.go
@@ -55,15 +55,15 @@
 		return err
 	}
 	began := time.Now()
-	err = s.add(ctx, j.Pool, keyedlog.Record{Key: keyJob + string(j.ID), Value: data})
+	err = s.add(ctx, s.host.partitionOf(j.Pool), keyedlog.Record{Key: keyJob + string(j.ID), Value: data})
 	s.host.metrics.submit.observe(time.Since(began), err)
 	return err
 }
 
-// Cancel records a cancel.
-func (s *submitter) Cancel(ctx context.Context, pool string, id job.ID) error {
+// Cancel records a cancel in a partition.
+func (s *submitter) Cancel(ctx context.Context, partition int, id job.ID) error {
 	began := time.Now()
-	err := s.add(ctx, pool, keyedlog.Record{Key: keyCancel + string(id), Value: []byte{1}})
+	err := s.add(ctx, jobsPartition(partition), keyedlog.Record{Key: keyCancel + string(id), Value: []byte{1}})
 	s.host.metrics.cancel.observe(time.Since(began), err)
 	return err
 }
@@ -73,12 +73,11 @@
 // answer. It retries until an attempt succeeds, until ctx ends, or for submitRefuseAfter
 // while no attempt may have added the record. Records are keyed and self-contained, so that
 // adding one twice changes nothing.
-func (s *submitter) add(ctx context.Context, pool string, record keyedlog.Record) error {
-	partition := s.host.partitionOf(pool)
+func (s *submitter) add(ctx context.Context, partition keyedlog.Partition, record keyedlog.Record) error {
 	mayHaveRun := false
 	began := s.host.now()
 	for {
-		v, message := s.addOnce(ctx, pool, partition, record)
+		v, message := s.addOnce(ctx, partition, record)
 		if v == verdict.Ran {
 			return nil
 		}
@@ -98,7 +97,7 @@
 // addOnce tries the owner first, and then the log, or peers if the log does not answer this
 // entry host, once each until one succeeds. It does not append to a slow log itself. It
 // returns Ran if the record is in the log, and NotRun only if no attempt may have added it.
-func (s *submitter) addOnce(ctx context.Context, pool string, partition keyedlog.Partition, record keyedlog.Record) (verdict.Verdict, string) {
+func (s *submitter) addOnce(ctx context.Context, partition keyedlog.Partition, record keyedlog.Record) (verdict.Verdict, string) {
 	result, message := verdict.NotRun, "no entry host is in contact with it"
 	merge := func(v verdict.Verdict, text string) bool {
 		if v != verdict.NotRun {
@@ -111,7 +110,7 @@
 		if merge(p.recorder.submit(ctx, record)) {
 			return result, message
 		}
-	} else if address, ok := s.host.directory.ownerOf(ctx, pool); ok {
+	} else if address, ok := s.host.directory.ownerOfPartition(ctx, partition); ok {
 		if merge(s.relay(ctx, address, partition, record)) {
 			return result, message
 		}
--- a/internal/jobhost/partition.go
+++ b/internal/jobhost/partition.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"maps"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hornbeammast/hornbeammast/internal/coordination/handover"
 	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
@@ -19,6 +23,7 @@
 	keyJob      = "job/"
 	keyProgress = "progress/"
 	keyCancel   = "cancel/"
+	keyIntake   = "intake/"
 )
 
 // partition is one tenure of a TopicJobs partition: it runs all pools whose records the
@@ -28,6 +33,8 @@
 	id    keyedlog.Partition
 	token int64
 
+	// ctx ends with the tenure.
+	ctx    context.Context //nolint:containedctx // Jobs are held and settled by records that are read at any time.
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
 	// loaded is set once all records that existed at the start of the tenure are applied.
@@ -39,8 +46,14 @@
 
 	mu    sync.Mutex
 	pools map[string]*poolRunner
-	// poolOf maps each known job to its pool.
-	poolOf map[job.ID]string
+	// taken holds the jobs that the partition has taken.
+	taken map[job.ID]takenJob
+	// intakes says which queues' new jobs the partition takes. held holds the jobs for which that
+	// is not known yet, by queues in settling, and forwarded those that other partitions have.
+	intakes   *handover.Table
+	held      map[job.ID]*heldJob
+	settling  map[string]bool
+	forwarded map[job.ID]forwardedJob
 	// loading holds the jobs read before the partition was loaded, progress their
 	// encoded progress records.
 	loading  map[job.ID]*jobs.Job
@@ -48,19 +61,42 @@
 	// cancelled holds the jobs whose cancel record was read before the job itself, or
 	// before the partition was loaded.
 	cancelled map[job.ID]struct{}
-	// startPool runs a pool's runner until the tenure ends.
+	// startPool runs a pool's runner until the tenure ends. The lock is held.
 	startPool func(*poolRunner)
 }
 
+// takenJob is a job that the partition has taken.
+type takenJob struct {
+	runner *poolRunner
+	job    *job.Job
+	// sum is a checksum of its record, 0 if it can't be encoded.
+	sum uint64
+}
+
+func recordSum(j *job.Job) uint64 {
+	data, err := j.Marshal()
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(data)
+}
+
 // startPartition begins a tenure with its fencing token.
 func startPartition(host *JobHost, id keyedlog.Partition, token int64) *partition {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &partition{
-		host: host, id: id, token: token, cancel: cancel,
-		pools: map[string]*poolRunner{}, poolOf: map[job.ID]string{}, loading: map[job.ID]*jobs.Job{},
+		host: host, id: id, token: token, ctx: ctx, cancel: cancel,
+		pools: map[string]*poolRunner{}, taken: map[job.ID]takenJob{}, loading: map[job.ID]*jobs.Job{},
 		progress: map[job.ID][]byte{}, cancelled: map[job.ID]struct{}{},
+		held: map[job.ID]*heldJob{}, settling: map[string]bool{}, forwarded: map[job.ID]forwardedJob{},
+	}
+	p.intakes = handover.NewTable(id.Number, func(pool string) int { return host.partitionOf(pool).Number })
+	p.startPool = func(r *poolRunner) {
+		if !r.started {
+			r.started = true
+			r.loops.Go(func() { r.run(ctx) })
+		}
 	}
-	p.startPool = func(r *poolRunner) { r.loops.Go(func() { r.run(ctx) }) }
 	p.recorder = newRecorder(p)
 	p.follower = &follower{
 		log: host.platform.Log, events: host.events, partition: id, now: host.now,
@@ -87,6 +123,17 @@
 	p.host.reacquire(p)
 }
 
+// lookup returns the state of a job that the partition has taken.
+func (p *partition) lookup(id job.ID) (job.State, bool) {
+	p.mu.Lock()
+	t, ok := p.taken[id]
+	p.mu.Unlock()
+	if !ok {
+		return "", false
+	}
+	return t.runner.pool.State(id)
+}
+
 // loadedRunner returns the runner of a pool, if the partition is loaded and has the pool.
 func (p *partition) loadedRunner(pool string) (*poolRunner, bool) {
 	if !p.loaded.Load() {
@@ -118,9 +165,6 @@
 	p.loops.Go(func() { p.sweep(ctx) })
 	p.mu.Lock()
 	p.fold()
-	for _, runner := range p.pools {
-		p.startPool(runner)
-	}
 	p.mu.Unlock()
 	p.refresh()
 }
@@ -128,17 +172,20 @@
 // fold applies the loaded progress and cancels to the loaded jobs and adds the jobs to
 // their pools. The lock is held.
 func (p *partition) fold() {
-	now := p.host.now()
 	for id, state := range p.loading {
-		if data, ok := p.progress[id]; ok {
+		data, taken := p.progress[id]
+		if taken {
 			if err := state.ApplyProgress(data); err != nil {
 				p.host.events.Event("record-unreadable", "topic", p.id.Topic, "partition", p.id.Number, "key", keyProgress+string(id), "error", err)
 			}
 		}
-		if _, ok := p.cancelled[id]; ok {
-			state.Cancel(now)
+		_, cancelled := p.cancelled[id]
+		decision, _ := p.intakes.Decide(state.QueueAddress, state.ConfigVersion)
+		if !taken && !cancelled && decision != handover.Take {
+			p.hold(id, state)
+			continue
 		}
-		p.runner(state.Pool).pool.AddJob(state)
+		p.take(state)
 	}
 	p.host.events.Event("partition-loaded", "topic", p.id.Topic, "partition", p.id.Number, "token", p.token, "jobs", len(p.loading))
 	clear(p.loading)
@@ -207,20 +254,32 @@
 			p.progress[id] = record.Value
 		}
 	case keyCancel:
-		if pool, ok := p.poolOf[id]; ok && p.loaded.Load() {
-			p.pools[pool].pool.CancelJob(id, p.host.now())
-			p.pools[pool].signal()
-			return
-		}
-		p.cancelled[id] = struct{}{}
+		p.applyCancel(id)
+	case keyIntake:
+		p.applyIntake(record)
 	default:
 		p.host.events.Event("record-unreadable", "topic", p.id.Topic, "partition", p.id.Number, "key", record.Key, "offset", record.Offset)
 	}
 }
 
-// applyJob adds a job and ignores one that is already known.
+// applyCancel cancels a job. The lock is held.
+func (p *partition) applyCancel(id job.ID) {
+	if t, ok := p.taken[id]; ok {
+		t.runner.pool.CancelJob(id, p.host.now())
+		t.runner.signal()
+		return
+	}
+	if f, ok := p.forwarded[id]; ok {
+		p.cancelForwarded(id, f.partition)
+		return
+	}
+	p.cancelled[id] = struct{}{}
+}
+
+// applyJob adds a job and ignores one that is already known. The lock is held.
 func (p *partition) applyJob(id job.ID, record keyedlog.Record) {
-	if _, ok := p.poolOf[id]; ok {
+	t, taken := p.taken[id]
+	if p.waits(id) || (taken && t.sum == xxhash.Sum64(record.Value)) {
 		return
 	}
 	submitted, err := job.Unmarshal(record.Value)
@@ -229,26 +288,60 @@
 			"offset", record.Offset, "error", err)
 		return
 	}
+	if taken {
+		p.restoreJob(t, submitted)
+		return
+	}
 	state := jobs.New(submitted)
-	p.poolOf[id] = submitted.Pool
 	if !p.loaded.Load() {
 		// The job's progress and cancel may be among the records still to be read.
 		p.loading[id] = state
 		return
 	}
+	if decision, _ := p.intakes.Decide(submitted.QueueAddress, submitted.ConfigVersion); decision != handover.Take {
+		p.hold(id, state)
+		return
+	}
+	p.take(state)
+}
+
+// waits reports whether it is not known yet if the partition takes a job that it has read. The
+// lock is held.
+func (p *partition) waits(id job.ID) bool {
+	_, held := p.held[id]
+	_, loading := p.loading[id]
+	return held || loading
+}
+
+// restoreJob records the job that was taken again if the record of a repeat, which replaces it in
+// the log, differs in what runs where: a later owner knows the newest record only. The lock is held.
+func (p *partition) restoreJob(t takenJob, repeated *job.Job) {
+	if t.job.SameWork(repeated) {
+		return
+	}
+	data, err := t.job.Marshal()
+	p.host.events.Event("job-repeated", "job", t.job.ID, "partition", p.id.Number, "pool", t.job.Pool, "repeat-pool", repeated.Pool,
+		"config", t.job.ConfigVersion, "repeat-config", repeated.ConfigVersion, "error", err)
+	if err == nil {
+		p.recorder.enqueue(keyedlog.Record{Key: keyJob + string(t.job.ID), Value: data})
+	}
+}
+
+// take adds a job to its pool, in which it stays even if the configuration has its queue elsewhere
+// or the pool no longer. The lock is held.
+func (p *partition) take(state *jobs.Job) {
+	id := state.ID
+	runner := p.runner(state.Pool)
+	p.taken[id] = takenJob{runner: runner, job: state.Job, sum: recordSum(state.Job)}
+	delete(p.forwarded, id)
 	if _, ok := p.cancelled[id]; ok {
 		state.Cancel(p.host.now())
 		delete(p.cancelled, id)
 	}
-	p.host.events.Event("job-taken", "job", id, "pool", submitted.Pool, "queue", submitted.Queue, "offset", record.Offset,
-		"age", p.host.now().Sub(submitted.AcceptedAt))
-	if _, ok := p.pools[submitted.Pool]; !ok {
-		// A job stays in the pool that its queue had when the job was accepted, even if
-		// the configuration no longer has that pool.
-		p.startPool(p.runner(submitted.Pool))
-	}
-	runner := p.runner(submitted.Pool)
+	p.host.events.Event("job-taken", "job", id, "pool", state.Pool, "queue", state.Queue, "config", state.ConfigVersion,
+		"age", p.host.now().Sub(state.AcceptedAt))
 	runner.pool.AddJob(state)
+	p.startPool(runner)
 	runner.signal()
 }
 
@@ -262,8 +355,9 @@
 			gone = append(gone, runner.pool.Forget(p.host.now())...)
 		}
 		for _, id := range gone {
-			delete(p.poolOf, id)
+			delete(p.taken, id)
 		}
+		maps.DeleteFunc(p.forwarded, func(_ job.ID, f forwardedJob) bool { return p.host.now().Sub(f.at) > forwardedRetention })
 		p.mu.Unlock()
 		p.recorder.drop(gone)
 	}
--- a/internal/jobhost/peer_handler.go
+++ b/internal/jobhost/peer_handler.go
@@ -13,17 +13,56 @@
 // catchUpInterval is how often catchUp checks the position of the follower.
 const catchUpInterval = 5 * time.Millisecond
 
-// state returns the state of a job in an owned pool. Before it reports a job as unknown,
-// it reads the partition to its end; ok is false if that fails.
-func (p *partition) state(ctx context.Context, r *poolRunner, id job.ID) (state job.State, known, ok bool) {
-	if state, known := r.pool.State(id); known {
+// state returns the state of a job in an owned partition. Before it reports a job as unknown,
+// it reads the partition to its end; ok is false if that fails. Unless direct is set, it asks the
+// partition to which it has forwarded the job.
+func (p *partition) state(ctx context.Context, id job.ID, direct bool) (state job.State, known, ok bool) {
+	if state, known := p.lookup(id); known {
 		return state, true, true
 	}
 	if !p.catchUp(ctx) {
 		return "", false, false
 	}
-	state, known = r.pool.State(id)
-	return state, known, true
+	p.awaitSettled(ctx, id)
+	if state, known := p.lookup(id); known {
+		return state, true, true
+	}
+	return p.stateOfUntaken(ctx, id, direct)
+}
+
+// awaitSettled waits, within a bound, until it is known whether the partition takes a job.
+func (p *partition) awaitSettled(ctx context.Context, id job.ID) {
+	p.mu.Lock()
+	h, ok := p.held[id]
+	p.mu.Unlock()
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, heldStateWait)
+	defer cancel()
+	select {
+	case <-h.settled:
+	case <-ctx.Done():
+	}
+}
+
+// stateOfUntaken returns the state of a job that the partition has not taken: one that is held or
+// was forwarded is accepted.
+func (p *partition) stateOfUntaken(ctx context.Context, id job.ID, direct bool) (state job.State, known, ok bool) {
+	p.mu.Lock()
+	_, held := p.held[id]
+	f, forwarded := p.forwarded[id]
+	p.mu.Unlock()
+	if !forwarded || direct {
+		return job.Queued, held, true
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardedTimeout)
+	defer cancel()
+	state, known, ok = p.host.directory.directState(ctx, f.partition, id)
+	if ok && !known && p.host.now().Sub(f.at) < forwardedVisible {
+		return job.Queued, true, true
+	}
+	return state, known, ok
 }
 
 // catchUp waits until all records that are now in the log have been applied, and returns
@@ -47,23 +86,41 @@
 // peerHandler serves the requests of other entry hosts.
 type peerHandler struct{ host *JobHost }
 
-// State returns the state of a job of an owned pool; it is empty if the job is unknown.
+// State returns the state of a job of an owned partition; it is empty if the job is unknown.
 func (h peerHandler) State(ctx context.Context, request *wire.JobStateRequest) (*wire.JobStateReply, error) {
-	p, r, ok := h.host.ownedPool(request.GetPool())
+	p, ok := h.host.actingPartition(int(request.GetPartition()))
 	if !ok {
 		return &wire.JobStateReply{}, nil
 	}
-	state, _, ok := p.state(ctx, r, job.ID(request.GetId()))
+	state, known, ok := p.state(ctx, job.ID(request.GetId()), request.GetDirect())
+	if !known {
+		state = ""
+	}
 	return &wire.JobStateReply{Owner: ok, State: string(state)}, nil
 }
 
-// Waiting returns the number of a queue's jobs of which no task has started.
-func (h peerHandler) Waiting(_ context.Context, request *wire.WaitingRequest) (*wire.WaitingReply, error) {
-	_, r, ok := h.host.ownedPool(request.GetPool())
+// ReleaseQueue has an owned partition take no more new jobs of a queue.
+func (h peerHandler) ReleaseQueue(ctx context.Context, request *wire.ReleaseQueueRequest) (*wire.ReleaseQueueReply, error) {
+	p, ok := h.host.actingPartition(int(request.GetPartition()))
 	if !ok {
-		return &wire.WaitingReply{}, nil
+		return &wire.ReleaseQueueReply{}, nil
 	}
-	return &wire.WaitingReply{Owner: true, Waiting: int32(r.pool.Waiting(request.GetQueue()))}, nil //nolint:gosec // Far below 2^31 jobs.
+	return p.releaseQueue(ctx, request.GetIntake())
+}
+
+// FindJobs returns which of some jobs an owned partition has taken.
+func (h peerHandler) FindJobs(ctx context.Context, request *wire.FindJobsRequest) (*wire.FindJobsReply, error) {
+	p, ok := h.host.actingPartition(int(request.GetPartition()))
+	if !ok {
+		return &wire.FindJobsReply{}, nil
+	}
+	return p.findJobs(ctx, request.GetQueueAddress(), request.GetIds())
+}
+
+// Waiting returns the number of a queue's jobs of which no task has started, in the owned
+// partitions.
+func (h peerHandler) Waiting(_ context.Context, request *wire.WaitingRequest) (*wire.WaitingReply, error) {
+	return h.host.waitingInOwned(request.GetQueueAddress()), nil
 }
 
 // Load returns the loads of the pools that this entry host owns.
--- a/internal/jobhost/pool_runner.go
+++ b/internal/jobhost/pool_runner.go
@@ -34,6 +34,8 @@
 	wake  chan struct{}
 	loops sync.WaitGroup
 	pacer schedule.Pacer
+	// started is set once the pool is planned; the partition's lock guards it.
+	started bool
 	// recorded is notified after each record of the pool's changes.
 	recorded broadcast
 	// signalRecorder notifies the partition's recorder of changes to be recorded.
--- a/internal/jobhost/recorder.go
+++ b/internal/jobhost/recorder.go
@@ -40,15 +40,25 @@
 
 // submit adds a record to the next append and waits for its outcome.
 func (r *recorder) submit(ctx context.Context, record keyedlog.Record) (verdict.Verdict, string) {
+	return r.await(ctx, r.enqueue(record))
+}
+
+// enqueue adds a record to the next append. Records are appended in this order.
+func (r *recorder) enqueue(record keyedlog.Record) *submittedRecord {
 	s := &submittedRecord{record: record, done: make(chan verdict.Verdict, 1)}
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	if r.closed {
-		r.mu.Unlock()
-		return verdict.NotRun, "the partition's owner has changed"
+		s.done <- verdict.NotRun
+		return s
 	}
 	r.submitted = append(r.submitted, s)
-	r.mu.Unlock()
 	r.signal()
+	return s
+}
+
+// await waits for the outcome of a record's append.
+func (r *recorder) await(ctx context.Context, s *submittedRecord) (verdict.Verdict, string) {
 	select {
 	case v := <-s.done:
 		return v, "the partition's owner has changed"
--- a/internal/protocol/job/job.go
+++ b/internal/protocol/job/job.go
@@ -2,6 +2,7 @@
 package job
 
 import (
+	"reflect"
 	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
@@ -70,8 +71,13 @@
 
 // Job is a submission with the settings of its queue at the time it was accepted.
 type Job struct {
-	ID            ID
-	Queue         string
+	ID    ID
+	Queue string
+	// QueueAddress identifies the queue across configurations, see queue.Queue.Address.
+	QueueAddress string
+	// ConfigVersion is the version of the configuration by which the job was accepted, and which
+	// sends the queue to Pool.
+	ConfigVersion int64
 	Pool          string
 	Spec          string
 	Steps         []Step
@@ -87,6 +93,12 @@
 	NeedsPlacementCheck bool
 }
 
+// SameWork reports whether two submissions ask for the same work in the same pool.
+func (j *Job) SameWork(o *Job) bool {
+	return j.Pool == o.Pool && j.Spec == o.Spec && j.Occurrences == o.Occurrences && j.FirstAt.Equal(o.FirstAt) &&
+		j.Interval == o.Interval && reflect.DeepEqual(j.Steps, o.Steps)
+}
+
 // OccurrenceCount returns the number of occurrences: how often the steps run.
 func (j *Job) OccurrenceCount() int { return max(1, j.Occurrences) }
 
--- a/internal/protocol/job/record.go
+++ b/internal/protocol/job/record.go
@@ -13,7 +13,7 @@
 // Marshal encodes a job as the value of a log record.
 func (j *Job) Marshal() ([]byte, error) {
 	m := &wire.Job{
-		Id: string(j.ID), Queue: j.Queue, Pool: j.Pool, Spec: j.Spec,
+		Id: string(j.ID), Queue: j.Queue, QueueAddress: j.QueueAddress, ConfigVersion: j.ConfigVersion, Pool: j.Pool, Spec: j.Spec,
 		AcceptedMs: j.AcceptedAt.UnixMilli(), Priority: int32(j.Priority), MaxAttempts: int32(j.MaxAttempts), //nolint:gosec // Validated.
 		Stretch: j.Stretch, LatencyTargetMs: j.LatencyTarget.Milliseconds(),
 		Occurrences: int32(j.Occurrences), IntervalMs: j.Interval.Milliseconds(), NeedsAdvice: j.NeedsPlacementCheck, //nolint:gosec // Validated.
@@ -50,7 +50,8 @@
 		return nil, errors.Wrap(err, "read the job")
 	}
 	j := &Job{
-		ID: ID(m.GetId()), Queue: m.GetQueue(), Pool: m.GetPool(), Spec: m.GetSpec(),
+		ID: ID(m.GetId()), Queue: m.GetQueue(), QueueAddress: m.GetQueueAddress(), ConfigVersion: m.GetConfigVersion(),
+		Pool: m.GetPool(), Spec: m.GetSpec(),
 		AcceptedAt: time.UnixMilli(m.GetAcceptedMs()), Priority: int(m.GetPriority()), MaxAttempts: int(m.GetMaxAttempts()),
 		Stretch: m.GetStretch(), LatencyTarget: time.Duration(m.GetLatencyTargetMs()) * time.Millisecond,
 		Occurrences: int(m.GetOccurrences()), Interval: time.Duration(m.GetIntervalMs()) * time.Millisecond,
--- a/internal/protocol/queue/configuration.go
+++ b/internal/protocol/queue/configuration.go
@@ -35,6 +35,15 @@
 	NeedsPlacementCheck bool
 }
 
+// Address identifies the queue to callers across configurations, in which its name and its pool
+// may change. A queue that callers reach by its name only is identified by that.
+func (q *Queue) Address() string {
+	if address := q.Host + q.PathPrefix; address != "" {
+		return address
+	}
+	return q.Name
+}
+
 // Pool is a set of hosts that run the tasks of its queues.
 type Pool struct {
 	Name string
--- a/internal/state/jobs/progress.go
+++ b/internal/state/jobs/progress.go
@@ -13,7 +13,7 @@
 
 // MarshalProgress encodes all recorded progress and the placements.
 func (j *Job) MarshalProgress() ([]byte, error) {
-	m := &wire.JobProgress{Failed: j.Failed}
+	m := &wire.JobProgress{Failed: j.Failed, Pool: j.Pool}
 	if !j.EndedAt.IsZero() {
 		m.EndedMs = j.EndedAt.UnixMilli()
 	}
@@ -74,13 +74,18 @@
 	return m
 }
 
-// ApplyProgress merges a progress record into the job and replaces the placements by
+// ApplyProgress merges a progress record into the job and replaces its pool and its placements by
 // those of the record.
 func (j *Job) ApplyProgress(data []byte) error {
 	m := &wire.JobProgress{}
 	if err := proto.Unmarshal(data, m); err != nil {
 		return errors.Wrap(err, "unmarshal the progress of the job")
 	}
+	if m.GetPool() != "" && m.GetPool() != j.Pool {
+		taken := *j.Job
+		taken.Pool = m.GetPool()
+		j.Job = &taken
+	}
 	ended := time.UnixMilli(m.GetEndedMs())
 	for _, o := range m.GetOccurrences() {
 		if !j.HasTask(int(o.GetNumber()), 0, 0) || len(o.GetSteps()) > len(j.Steps) {
--- a/internal/transport/peer/job_client.go
+++ b/internal/transport/peer/job_client.go
@@ -60,7 +60,17 @@
 	return callJob(ctx, c, address, wire.DRPCJobPeerClient.State, request)
 }
 
-// Waiting asks for the number of waiting jobs of a queue.
+// ReleaseQueue asks the owner of a partition to take no more new jobs of a queue.
+func (c *JobClient) ReleaseQueue(ctx context.Context, address netip.AddrPort, request *wire.ReleaseQueueRequest) (*wire.ReleaseQueueReply, error) {
+	return callJobWithTimeout(ctx, relayTimeout, c, address, wire.DRPCJobPeerClient.ReleaseQueue, request)
+}
+
+// FindJobs asks the owner of a partition which of some jobs it holds.
+func (c *JobClient) FindJobs(ctx context.Context, address netip.AddrPort, request *wire.FindJobsRequest) (*wire.FindJobsReply, error) {
+	return callJob(ctx, c, address, wire.DRPCJobPeerClient.FindJobs, request)
+}
+
+// Waiting asks for the number of waiting jobs of a queue in the partitions that a peer owns.
 func (c *JobClient) Waiting(ctx context.Context, address netip.AddrPort, request *wire.WaitingRequest) (*wire.WaitingReply, error) {
 	return callJob(ctx, c, address, wire.DRPCJobPeerClient.Waiting, request)
 }
