A run that shows work is not taken for hanging by its estimate

Cause: the bound on a run rested on the estimate alone and never grew, and each stop made the host suspect. Tasks without processor time were stopped after 1.5 s each in the same way. Runs that show work may last eight times longer; each stop doubles the patience with the task; a host is suspected only by contrast with where the task or its step works. Why it works: a task's time is finite and its patience grows until it fits, while a run that hangs for good is still stopped, and its host blamed once the task is done elsewhere.

--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -159,15 +159,11 @@
 			r.state, r.startedAt, r.unconfirmed, r.task.step.job.begun = stateRunning, now, false, true
 			p.stopIfSuperseded(r)
 		}
-		if row.Checkpoint != "" {
-			r.checkpoint = row.Checkpoint
-			r.task.checkpoint = row.Checkpoint
-		}
 		r.speed, r.atWork = row.Percent, row.Percent == fullSpeed && (!r.adopted || !sent.Before(formerStops))
 		if r.state == stateStopping && !r.stopAckedAt.IsZero() && now.Sub(r.stopAckedAt) > stopTimeout {
 			r.stopAckedAt = time.Time{}
 		}
-		r.observe(row.Usage, now)
+		p.observe(r, row, now)
 	}
 }
 
--- a/internal/coordination/schedule/limits.go
+++ b/internal/coordination/schedule/limits.go
@@ -86,11 +86,6 @@
 	suspectFailures = 3
 	// suspectPause is how long a suspected host gets only one run at a time.
 	suspectPause = 6 * time.Second
-	// hangFactor is the multiple of its expected time after which a run counts as hanging.
-	// The factor is large because estimates are rough.
-	hangFactor = 4
-	// minHangTime is the least time that a run must last before it counts as hanging.
-	minHangTime = 3 * time.Second
 	// lateFactor is the multiple of its objective span after which a job's result has no
 	// value any more.
 	lateFactor = 3
--- a/internal/coordination/schedule/outcome.go
+++ b/internal/coordination/schedule/outcome.go
@@ -58,8 +58,8 @@
 func (p *Pool) taskDone(h *host, t *task, r *run, now time.Time) {
 	e := t.step.job
 	h.health.succeeded()
-	if r != nil && !r.adopted && !r.startedAt.IsZero() && !r.resumed && !t.step.def.LongRunning {
-		p.estimates.learn(e.Queue, t.step.def.Estimate, now.Sub(r.startedAt))
+	if r != nil && !r.startedAt.IsZero() {
+		p.learn(r, now)
 	}
 	if t.step.def.LongRunning || e.Ended() {
 		return
@@ -84,6 +84,14 @@
 	}
 }
 
+// learn learns from the time of a successful run.
+func (p *Pool) learn(r *run, now time.Time) {
+	p.doneAfterHang(r, now)
+	if def := r.task.step.def; !r.adopted && !r.resumed && !def.LongRunning {
+		p.estimates.learn(r.task.step.job.Queue, def.Estimate, now.Sub(r.startedAt))
+	}
+}
+
 // taskFailed counts a failed run; at the maximum number of attempts the job fails.
 func (p *Pool) taskFailed(h *host, t *task, end *worker.EndedRun, now time.Time) {
 	e := t.step.job
@@ -182,14 +190,23 @@
 	}
 }
 
-// observe records a run's usage and since when the run has used no processor time.
-func (r *run) observe(usage int64, now time.Time) {
-	r.usage = usage
-	if usage > 0 {
+// observe records what a host's list shows of a run: its usage and its checkpoint.
+func (p *Pool) observe(r *run, row *worker.ActiveRun, now time.Time) {
+	if row.Usage != worker.UsageUnknown {
+		r.usage = row.Usage
+	}
+	saved := row.Checkpoint != "" && row.Checkpoint != r.checkpoint
+	if saved {
+		r.checkpoint = row.Checkpoint
+		r.task.checkpoint = row.Checkpoint
+	}
+	switch needs := r.task.step.def.Needs.CPU; {
+	case saved || (row.Usage > 0 && float64(row.Usage) >= workShare*float64(needs)):
+		p.showedWork(r, now)
 		r.idleSince = time.Time{}
-		return
-	}
-	if r.idleSince.IsZero() {
+	case row.Usage != 0:
+		r.idleSince = time.Time{}
+	case r.idleSince.IsZero():
 		r.idleSince = now
 	}
 }
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -101,7 +101,7 @@
 	r := &run{
 		task: t, name: t.name(), number: number, host: h, needs: t.step.def.Reserved(), state: stateRecording, unsent: true,
 		sentAt: now, resumed: t.checkpoint != "", speed: fullSpeed, speedSent: fullSpeed, checkpoint: t.checkpoint,
-		placedAt: h.clockNow(now),
+		placedAt: h.clockNow(now), earlierHangs: t.hangs,
 	}
 	p.attach(r)
 	h.startsInFlight++
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"slices"
 	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
@@ -113,42 +112,6 @@
 	}
 }
 
-// stopHanging stops a run that hangs and marks its host as suspected. A hanging gang is
-// stopped whole and no host suspected, since any member's host may be the cause.
-func (p *Pool) stopHanging(r *run, now time.Time) {
-	if r.task.step.def.Gang {
-		p.stopGang(r.task.step, "hangs")
-		return
-	}
-	r.host.health.suspect(now)
-	r.task.avoidHost = r.host.report.ID
-	p.stop(r, "hangs")
-}
-
-// hangs reports whether a run has used no processor time for too long, or lasts far
-// longer than expected, as do the other runs of its task.
-func (p *Pool) hangs(r *run, now time.Time) bool {
-	def := r.task.step.def
-	if r.state != stateRunning || def.LongRunning || def.BestEffort || r.speed < fullSpeed {
-		return false
-	}
-	// Members of a gang are idle while they wait for each other.
-	if !def.Gang && !r.idleSince.IsZero() && now.Sub(r.idleSince) > maxIdleTime {
-		return true
-	}
-	longest := max(minHangTime, hangFactor*p.estimates.expected(r.task.step.job.Queue, def.Estimate))
-	if def.OneRack || (def.DataRack != "" && def.DataRack != r.host.report.Rack) {
-		longest = time.Duration(float64(longest) * max(1, p.limits.RemoteDataFactor))
-	}
-	return !slices.ContainsFunc(r.task.runs, func(other *run) bool {
-		return other.state != stateStopping && (other.state != stateRunning || now.Sub(other.startedAt) <= longest)
-	})
-}
-
-// maxIdleTime is how long a run may use no processor time before it counts as hanging.
-// It leaves time to restore a checkpoint and allows for the coarse measurement of usage.
-const maxIdleTime = 1500 * time.Millisecond
-
 // withinMaxUnavailable reports whether a long-running task may be ended without
 // exceeding its step's MaxUnavailable, counting tasks that are unavailable for any cause.
 func (p *Pool) withinMaxUnavailable(s *step, leaving *task, now time.Time) bool {
--- a/internal/coordination/schedule/task.go
+++ b/internal/coordination/schedule/task.go
@@ -41,6 +41,8 @@
 	// gangRun is the current run number of a gang, which all its members share.
 	gangRun        int64
 	placementCheck *placementCheck
+	// worked is set once a run of the step was listed as working.
+	worked bool
 }
 
 // task is one task with the runs that hosts may have of it.
@@ -53,6 +55,9 @@
 	checkpoint string
 	// notBefore delays the next start after a failed run or a refused start.
 	notBefore time.Time
+	// hangs counts the runs that were stopped because they hung; hungOn is the last one, or nil.
+	hangs  int
+	hungOn *hang
 	// avoidHost is the host on which the last run failed or hung.
 	avoidHost worker.ID
 	// suspectedAt is when the task became a suspect, zero while it is none.
@@ -127,8 +132,12 @@
 	speedSent   int
 	throttling  bool
 	throttledAt time.Time
-	// idleSince is when the run stopped using processor time; zero while it uses some.
-	idleSince time.Time
+	// earlierHangs is how many runs of the task had been stopped because they hung when this one
+	// was placed.
+	earlierHangs int
+	// idleSince is when the run stopped using processor time; zero while it uses some, or its use is
+	// not measured. workedAt is when it was last listed as working, zero before.
+	idleSince, workedAt time.Time
 }
 
 func (t *task) name() worker.TaskName {
--- a/internal/protocol/worker/worker.go
+++ b/internal/protocol/worker/worker.go
@@ -172,10 +172,14 @@
 	Checkpoint string
 	Percent    int
 	// Usage is a measurement over the last half second: the tail latency in milliseconds
-	// of a task that serves requests, the CPU usage in thousandths of a core of any other.
+	// of a task that serves requests, the CPU usage in thousandths of a core of any other;
+	// UsageUnknown if the worker does not measure it.
 	Usage int64
 }
 
+// UsageUnknown is the usage of a run that is not measured.
+const UsageUnknown = -1
+
 // Outcome is the way in which a run ended.
 type Outcome int
 
