The progress of a job is recorded in parts that the log takes

Cause: the record of a job's progress held all its placements, an append all that had changed, and neither knew record-bytes or call-bytes; an append was sent again whatever the log had answered. Evidence: an append of 262,781 bytes refused with 400, 93 times; record-delayed on the owner, once, and no job-recorded after it. Change: both limits are read. Progress is kept in parts of so many tasks that each fits, of which only those that differ are written; appends are divided by size. A record that the log refuses for good is found by dividing its append, and ends its job only. A submission too large to be kept gets 400 at once. A gang that finds no room leaves nothing to record: it used to change its job with each plan. Why it works: the size of a part depends on the limit and not on the job, and no answer of the log makes the owner send the same append for ever.

--- a/internal/cmd/serve_jobs.go
+++ b/internal/cmd/serve_jobs.go
@@ -19,6 +19,7 @@
 	"github.com/hornbeammast/hornbeammast/internal/eventlog"
 	"github.com/hornbeammast/hornbeammast/internal/jobhost"
 	"github.com/hornbeammast/hornbeammast/internal/pause"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/settings"
 	"github.com/hornbeammast/hornbeammast/internal/transport/httpconn"
 	"github.com/hornbeammast/hornbeammast/internal/transport/jobs"
@@ -138,7 +139,7 @@
 		return nil, err
 	}
 	p := jobhost.Platform{
-		Log: &platform.Log{HTTP: s.client, Address: loaded.Platform.LogAddress}, Workers: &platform.Workers{HTTP: s.client},
+		Log: &platform.Log{HTTP: s.client, Address: loaded.Platform.LogAddress, RecordBytes: loaded.Platform.RecordBytes}, Workers: &platform.Workers{HTTP: s.client},
 		Machines:  &platform.Machines{HTTP: s.machineClient, Address: loaded.Platform.MachinesAddress},
 		Placement: &platform.PlacementChecker{HTTP: s.client, Address: loaded.Platform.PlacementCheckAddress},
 		Records:   platform.RecordCodec{},
@@ -158,6 +159,7 @@
 	return jobhost.Settings{
 		Name: loaded.Name, DataCentre: loaded.DataCentre, PeerAddress: loaded.PeerAddress,
 		Partitions: loaded.Platform.Partitions,
+		LogLimits:  keyedlog.Limits{Record: loaded.Platform.RecordBytes, Call: loaded.Platform.CallBytes},
 		GroupTTL:   ttl,
 		Resources: candidacy.Capacity{
 			CPU: int64(milliPerCore * loaded.Process.CoreShare * loaded.Process.CoreSpeed), LinkMbps: int64(loaded.Process.LinkMbps),
--- a/internal/coordination/schedule/bench_test.go
+++ b/internal/coordination/schedule/bench_test.go
@@ -85,8 +85,10 @@
 				if err != nil {
 					b.Fatal(err)
 				}
-				for _, data := range u.Progress {
-					bytes = len(data)
+				for _, parts := range u.Progress {
+					for _, part := range parts {
+						bytes = max(bytes, len(part.Data))
+					}
 				}
 			}
 			b.ReportMetric(float64(bytes), "record-bytes")
--- a/internal/coordination/schedule/gang.go
+++ b/internal/coordination/schedule/gang.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 )
 
@@ -10,12 +11,15 @@
 	for _, t := range c.tasks {
 		number = max(number, t.nextRunNumber(p.token))
 	}
+	undo := p.beforeGang(c, orders)
 	var placed []*run
 	for _, t := range c.tasks {
 		h := p.bestHost(t, now)
 		if h == nil {
 			break
 		}
+		lastStart := h.lastStart
+		undo = append(undo, func() { h.lastStart = lastStart })
 		placed = append(placed, p.start(t, h, number, now, orders))
 	}
 	if len(placed) == len(c.tasks) {
@@ -25,5 +29,27 @@
 	for _, r := range placed {
 		p.abandon(r, now)
 	}
+	for _, f := range slices.Backward(undo) {
+		f()
+	}
 	return false
 }
+
+// beforeGang returns functions that restore what placing a gang changes beside its runs. A gang for
+// which there is no room must leave nothing to record, or that would be done with each plan.
+func (p *Pool) beforeGang(c candidate, orders *Orders) []func() {
+	e, hasPlacements := c.step.job, orders.HasPlacements
+	started := e.started
+	_, dirty := p.dirty[e.ID]
+	undo := []func(){func() {
+		orders.HasPlacements, e.started = hasPlacements, started
+		if !dirty {
+			delete(p.dirty, e.ID)
+		}
+	}}
+	for _, t := range c.tasks {
+		lastRun := t.lastRun
+		undo = append(undo, func() { t.lastRun = lastRun })
+	}
+	return undo
+}
--- a/internal/coordination/schedule/inherit_test.go
+++ b/internal/coordination/schedule/inherit_test.go
@@ -37,7 +37,11 @@
 			sent = append(sent, Start{Target: s.Target, Order: order})
 		}
 	}
-	return sent, u.Progress[id]
+	record, err := h.pool.jobs[id].MarshalProgress()
+	if err != nil {
+		h.Fatal(err)
+	}
+	return sent, record
 }
 
 // TestUnrecordedCrashIsForgottenWithTheOwner: an owner was replaced before it could record a crash
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -208,18 +208,24 @@
 	return n
 }
 
+// Forgotten is a job that was dropped, with the number of parts of its recorded progress.
+type Forgotten struct {
+	ID    job.ID
+	Parts int
+}
+
 // Forget drops jobs that ended more than Limits.EndedJobRetention ago and have no runs left,
-// and returns their IDs.
-func (p *Pool) Forget(now time.Time) []job.ID {
+// and returns them.
+func (p *Pool) Forget(now time.Time) []Forgotten {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var forgotten []job.ID
+	var forgotten []Forgotten
 	for id, e := range p.jobs {
 		if e.recordedState != "" && e.liveRuns == 0 && now.Sub(e.EndedAt) > p.limits.EndedJobRetention {
 			delete(p.jobs, id)
 			delete(p.open, id)
 			delete(p.dirty, id)
-			forgotten = append(forgotten, id)
+			forgotten = append(forgotten, Forgotten{id, e.Parts()})
 		}
 	}
 	return forgotten
--- a/internal/coordination/schedule/record.go
+++ b/internal/coordination/schedule/record.go
@@ -10,8 +10,8 @@
 
 // Unrecorded is what has changed since the last record, to be written in one append.
 type Unrecorded struct {
-	// Progress holds the complete progress of each job that changed.
-	Progress      map[job.ID][]byte
+	// Progress holds, for each job that changed, the parts of its progress that did.
+	Progress      map[job.ID][]jobs.Part
 	finalStates   map[job.ID]job.State
 	pendingStarts []*run
 	received      map[worker.ID]receivedEnd
@@ -30,17 +30,18 @@
 func (p *Pool) TakeUnrecorded() (Unrecorded, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	u := Unrecorded{Progress: map[job.ID][]byte{}, finalStates: map[job.ID]job.State{}, received: map[worker.ID]receivedEnd{}}
+	u := Unrecorded{Progress: map[job.ID][]jobs.Part{}, finalStates: map[job.ID]job.State{}, received: map[worker.ID]receivedEnd{}}
 	for id, e := range p.dirty {
 		e.Placements, u.pendingStarts = e.placements(u.pendingStarts)
-		data, err := e.MarshalProgress()
+		parts, err := e.ChangedParts()
 		if err != nil {
 			for taken := range u.Progress {
+				p.jobs[taken].PartsNotWritten()
 				p.markDirty(p.jobs[taken])
 			}
 			return Unrecorded{}, err
 		}
-		u.Progress[id] = data
+		u.Progress[id] = parts
 		u.finalStates[id] = e.FinalState()
 		delete(p.dirty, id)
 	}
@@ -113,7 +114,22 @@
 	defer p.mu.Unlock()
 	for id := range u.Progress {
 		if e, ok := p.jobs[id]; ok {
+			e.PartsNotWritten()
 			p.markDirty(e)
 		}
 	}
 }
+
+// Refused gives up a job of which the log refuses a record for good. What it runs is stopped.
+func (p *Pool) Refused(id job.ID, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, ok := p.jobs[id]
+	if !ok || e.Ended() {
+		return
+	}
+	e.Fail(now)
+	p.markDirty(e)
+	p.hasGivenUp = true
+	p.events.Event("job-failed", "job", id, "pool", p.name, "reason", "record-refused", "runs", e.liveRuns)
+}
--- a/internal/emulator/site/store.go
+++ b/internal/emulator/site/store.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/pause"
@@ -12,6 +13,9 @@
 	"github.com/hornbeammast/hornbeammast/internal/protocol/verdict"
 )
 
+// recordBytes and callBytes are the store's limits on a record and on an append.
+const recordBytes, callBytes = 16 << 10, 64 << 10
+
 // storeLatency is how long a call of the store takes in the absence of faults.
 const storeLatency = 4 * time.Millisecond
 
@@ -40,6 +44,8 @@
 	// changed is closed and replaced with each append.
 	changed chan struct{}
 	random  func() float64
+	// refusedTooLarge counts the appends that were over a limit.
+	refusedTooLarge atomic.Int64
 }
 
 type storePartition struct {
@@ -157,6 +163,10 @@
 	if err != nil {
 		return err
 	}
+	if !takes(records) {
+		a.store.refusedTooLarge.Add(1)
+		return verdict.NotRunError(verdict.CauseTooLarge, "a record or the call is over the limit")
+	}
 	s := a.store
 	s.mu.Lock()
 	late := s.delay(id, records, producer)
@@ -172,6 +182,19 @@
 	return err
 }
 
+// takes reports whether records are within the store's limits.
+func takes(records []keyedlog.Record) bool {
+	total := 0
+	for n := range records {
+		size := 1 + len(records[n].Key) + len(records[n].Value)
+		if size > recordBytes {
+			return false
+		}
+		total += size
+	}
+	return total <= callBytes
+}
+
 // delay delays an append if lateAppends says so, and reports whether it does. The caller holds the
 // lock.
 func (s *Store) delay(id keyedlog.Partition, records []keyedlog.Record, producer *keyedlog.Producer) bool {
--- a/internal/jobhost/appender.go
+++ b/internal/jobhost/appender.go
@@ -42,8 +42,13 @@
 	return &appender{host: h, partition: partition, token: token}
 }
 
+// refused reports whether the log refuses records for good, so that sending them again is of no use.
+func refused(err error) bool {
+	return err != nil && verdict.FromError(err).Cause == verdict.CauseTooLarge
+}
+
 // append retries until the log confirms the records. It fails with keyedlog.ErrFenced if a
-// later owner has written, or with the error of ctx if that ends. An append without records
+// later owner has written, with a refused error, or with the error of ctx if that ends. An append without records
 // still makes the log refuse the appends of earlier owners.
 func (a *appender) append(ctx context.Context, records []keyedlog.Record) error {
 	delayUnlogged := true
@@ -56,7 +61,7 @@
 			a.sequence++
 			return nil
 		}
-		if errors.Is(err, keyedlog.ErrFenced) {
+		if errors.Is(err, keyedlog.ErrFenced) || refused(err) {
 			return err
 		}
 		if delayUnlogged {
--- a/internal/jobhost/job_host.go
+++ b/internal/jobhost/job_host.go
@@ -50,6 +50,8 @@
 	PeerAddress netip.AddrPort
 	// Partitions is how many partitions the platform gives a topic.
 	Partitions int
+	// LogLimits are the log's limits on appends.
+	LogLimits keyedlog.Limits
 	// GroupTTL is how long a member that does not renew keeps its partitions.
 	GroupTTL time.Duration
 	// Resources is what the process can use, Losses what the site must bear at once.
--- a/internal/jobhost/log_recorder.go
+++ b/internal/jobhost/log_recorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"sync"
 	"time"
@@ -18,19 +19,20 @@
 type submitter struct {
 	host *JobHost
 
-	mu      sync.Mutex
-	batches map[keyedlog.Partition]*batch
+	mu sync.Mutex
+	// pending holds the records that have arrived while an append to their partition is in flight,
+	// which the presence of the partition shows.
+	pending map[keyedlog.Partition][]pendingRecord
 }
 
-// batch collects the records that arrive while an append is in flight.
-type batch struct {
-	records []keyedlog.Record
-	done    chan struct{}
-	err     error
+// pendingRecord is a record of a caller that waits to be appended.
+type pendingRecord struct {
+	record keyedlog.Record
+	done   chan error
 }
 
 const (
-	// submitTimeout bounds one append of a batch of callers' records.
+	// submitTimeout bounds one append of callers' records.
 	submitTimeout = 2500 * time.Millisecond
 	// submitRetryPause is the pause before a record is submitted again.
 	submitRetryPause = 100 * time.Millisecond
@@ -45,7 +47,7 @@
 )
 
 func newSubmitter(h *JobHost) *submitter {
-	return &submitter{host: h, batches: map[keyedlog.Partition]*batch{}}
+	return &submitter{host: h, pending: map[keyedlog.Partition][]pendingRecord{}}
 }
 
 // Submit records a job.
@@ -76,12 +78,19 @@
 func (s *submitter) add(ctx context.Context, partition keyedlog.Partition, record keyedlog.Record) error {
 	mayHaveRun := false
 	began := s.host.now()
+	if !s.host.settings.LogLimits.Fits(&record) {
+		return verdict.NotRunError(verdict.CauseTooLarge, fmt.Sprintf("the job takes %d bytes in the log, which keeps %d", record.Size(), s.host.settings.LogLimits.Record))
+	}
 	for {
-		v, message := s.addOnce(ctx, partition, record)
-		if v == verdict.Ran {
+		o := s.addOnce(ctx, partition, record)
+		message := o.message
+		if o.verdict == verdict.Ran {
 			return nil
 		}
-		mayHaveRun = mayHaveRun || v != verdict.NotRun
+		mayHaveRun = mayHaveRun || o.verdict != verdict.NotRun
+		if o.refused && !mayHaveRun {
+			return verdict.NotRunError(verdict.CauseTooLarge, message)
+		}
 		if !mayHaveRun && s.host.now().Sub(began) > submitRefuseAfter {
 			return verdict.NotRunError(verdict.CauseNotServing, "the log can't be reached: "+message)
 		}
@@ -97,30 +106,31 @@
 // addOnce tries the owner first, and then the log, or peers if the log does not answer this
 // entry host, once each until one succeeds. It does not append to a slow log itself. It
 // returns Ran if the record is in the log, and NotRun only if no attempt may have added it.
-func (s *submitter) addOnce(ctx context.Context, partition keyedlog.Partition, record keyedlog.Record) (verdict.Verdict, string) {
-	result, message := verdict.NotRun, "no entry host is in contact with it"
-	merge := func(v verdict.Verdict, text string) bool {
-		if v != verdict.NotRun {
-			result = v
+func (s *submitter) addOnce(ctx context.Context, partition keyedlog.Partition, record keyedlog.Record) outcome {
+	result := outcome{verdict: verdict.NotRun, message: "no entry host is in contact with it"}
+	merge := func(o outcome) bool {
+		if o.verdict != verdict.NotRun {
+			result.verdict = o.verdict
 		}
-		message = text
-		return v == verdict.Ran
+		result.message, result.refused = o.message, o.refused
+		return o.verdict == verdict.Ran || o.refused
 	}
 	if p := s.host.ownedPartition(partition); p != nil {
 		if merge(p.recorder.submit(ctx, record)) {
-			return result, message
+			return result
 		}
 	} else if address, ok := s.host.directory.ownerOfPartition(ctx, partition); ok {
 		if merge(s.relay(ctx, address, partition, record)) {
-			return result, message
+			return result
 		}
 	}
 	if s.host.inContact() && s.host.logLatency() > slowLogLatency {
-		return result, "the log is slow, and the partition's owner does not answer"
+		result.message = "the log is slow, and the partition's owner does not answer"
+		return result
 	}
 	if s.host.inContact() {
-		merge(verdictOf(s.append(ctx, partition, record)))
-		return result, message
+		merge(outcomeOf(s.append(ctx, partition, record)))
+		return result
 	}
 	peers := s.host.directory.ownerAddresses(ctx)
 	for _, address := range peers[:min(relayPeers, len(peers))] {
@@ -128,85 +138,99 @@
 			break
 		}
 	}
-	return result, message
+	return result
 }
 
-func verdictOf(err error) (verdict.Verdict, string) {
+func outcomeOf(err error) outcome {
 	if err == nil {
-		return verdict.Ran, ""
+		return outcome{verdict: verdict.Ran}
 	}
 	e := verdict.FromError(err)
-	return e.Verdict, e.Message
+	return outcome{verdict: e.Verdict, message: e.Message, refused: refused(err)}
 }
 
-// append adds a record to the next batch of its partition and waits for its outcome.
+// append adds a record to the next append to its partition and waits for its outcome.
 func (s *submitter) append(ctx context.Context, partition keyedlog.Partition, record keyedlog.Record) error {
+	r := pendingRecord{record, make(chan error, 1)}
 	s.mu.Lock()
-	b, running := s.batches[partition]
-	if b == nil {
-		b = &batch{done: make(chan struct{})}
-		s.batches[partition] = b
-	}
-	b.records = append(b.records, record)
+	_, running := s.pending[partition]
+	s.pending[partition] = append(s.pending[partition], r)
 	s.mu.Unlock()
-	if !running && !s.host.spawn(func() { s.flush(partition, b) }) {
+	if !running && !s.host.spawn(func() { s.flush(partition) }) {
 		return verdict.NotRunError(verdict.CauseShuttingDown, "this entry host is shutting down; try another")
 	}
 	select {
-	case <-b.done:
-		return b.err
+	case err := <-r.done:
+		return err
 	case <-ctx.Done():
 		return verdict.MayHaveRunError(verdict.CauseDeadline, "the caller's deadline passed before the log answered")
 	}
 }
 
-// flush appends a partition's batches, beginning with first, until the next one is empty.
-func (s *submitter) flush(partition keyedlog.Partition, first *batch) {
-	for b := first; b != nil; {
-		s.mu.Lock()
-		// Records that arrive during the append go into the next batch. Its presence in
-		// the map, even while empty, shows that an append is running.
-		next := &batch{done: make(chan struct{})}
-		s.batches[partition] = next
-		s.mu.Unlock()
-		ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
-		b.err = s.host.platform.Log.Append(ctx, partition, b.records, nil)
-		cancel()
-		close(b.done)
+// flush appends the pending records of a partition until there are none.
+func (s *submitter) flush(partition keyedlog.Partition) {
+	for {
 		s.mu.Lock()
-		b = next
-		if len(next.records) == 0 {
-			delete(s.batches, partition)
-			b = nil
+		all := s.pending[partition]
+		if len(all) == 0 {
+			delete(s.pending, partition)
+			s.mu.Unlock()
+			return
 		}
+		s.pending[partition] = []pendingRecord{}
 		s.mu.Unlock()
+		records := make([]keyedlog.Record, 0, len(all))
+		for _, r := range all {
+			records = append(records, r.record)
+		}
+		for _, call := range s.host.settings.LogLimits.Split(records) {
+			s.appendCall(partition, call, all[:len(call)])
+			all = all[len(call):]
+		}
+	}
+}
+
+// appendCall appends records in one call, or one by one if the log refuses them together: others
+// must not suffer for one of them.
+func (s *submitter) appendCall(partition keyedlog.Partition, records []keyedlog.Record, all []pendingRecord) {
+	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+	err := s.host.platform.Log.Append(ctx, partition, records, nil)
+	cancel()
+	if refused(err) && len(records) > 1 {
+		for n := range records {
+			s.appendCall(partition, records[n:n+1], all[n:n+1])
+		}
+		return
+	}
+	for _, r := range all {
+		r.done <- err
 	}
 }
 
 // relay asks a peer to add a record.
-func (s *submitter) relay(ctx context.Context, address netip.AddrPort, partition keyedlog.Partition, record keyedlog.Record) (verdict.Verdict, string) {
+func (s *submitter) relay(ctx context.Context, address netip.AddrPort, partition keyedlog.Partition, record keyedlog.Record) outcome {
 	if s.host.directory.unresponsive(address) {
-		return verdict.NotRun, "peer " + address.String() + " did not answer recently"
+		return outcome{verdict: verdict.NotRun, message: "peer " + address.String() + " did not answer recently"}
 	}
 	reply, err := s.host.peers.Relay(ctx, address, &wire.RelayRequest{
 		Partition: int32(partition.Number), Key: record.Key, Value: record.Value, //nolint:gosec // Below Partitions.
 	})
 	if err != nil {
 		s.host.directory.markUnresponsive(address)
-		return verdict.FromError(err).Verdict, err.Error()
+		return outcome{verdict: verdict.FromError(err).Verdict, message: err.Error()}
 	}
-	return verdict.Verdict(reply.GetVerdict()), reply.GetMessage()
+	return outcome{verdict: verdict.Verdict(reply.GetVerdict()), message: reply.GetMessage(), refused: reply.GetRefused()}
 }
 
 // addForPeer adds a record on behalf of a peer.
 func (h *JobHost) addForPeer(ctx context.Context, request *wire.RelayRequest) *wire.RelayReply {
 	partition := keyedlog.Partition{Topic: TopicJobs, Number: int(request.GetPartition())}
 	record := keyedlog.Record{Key: request.GetKey(), Value: request.GetValue()}
-	v, message := verdict.NotRun, "this entry host is not in contact with the log"
+	o := outcome{verdict: verdict.NotRun, message: "this entry host is not in contact with the log"}
 	if p := h.ownedPartition(partition); p != nil {
-		v, message = p.recorder.submit(ctx, record)
+		o = p.recorder.submit(ctx, record)
 	} else if h.inContact() {
-		v, message = verdictOf(h.submitter.append(ctx, partition, record))
+		o = outcomeOf(h.submitter.append(ctx, partition, record))
 	}
-	return &wire.RelayReply{Verdict: string(v), Message: message}
+	return &wire.RelayReply{Verdict: string(o.verdict), Message: o.message, Refused: o.refused}
 }
--- a/internal/jobhost/partition.go
+++ b/internal/jobhost/partition.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,10 +53,10 @@
 	held      map[job.ID]*heldJob
 	settling  map[string]bool
 	forwarded map[job.ID]forwardedJob
-	// loading holds the jobs read before the partition was loaded, progress their
-	// encoded progress records.
+	// loading holds the jobs read before the partition was loaded, progress the parts of
+	// their encoded progress.
 	loading  map[job.ID]*jobs.Job
-	progress map[job.ID][]byte
+	progress map[job.ID]map[int][]byte
 	// cancelled holds the jobs whose cancel record was read before the job itself, or
 	// before the partition was loaded.
 	cancelled map[job.ID]struct{}
@@ -65,6 +64,18 @@
 	startPool func(*poolRunner)
 }
 
+// maxTaskBytes is the size that a part of a job's progress has for each of its tasks: a placement and
+// its copies, and the numbers of failed runs.
+const maxTaskBytes = 1 << 10
+
+// tasksPerPart returns how many tasks a part of a job's progress covers.
+func (h *JobHost) tasksPerPart() int {
+	if h.settings.LogLimits.Record == 0 {
+		return 0
+	}
+	return max(1, h.settings.LogLimits.Record/maxTaskBytes)
+}
+
 // takenJob is a job that the partition has taken.
 type takenJob struct {
 	runner *poolRunner
@@ -87,7 +98,7 @@
 	p := &partition{
 		host: host, id: id, token: token, ctx: ctx, cancel: cancel,
 		pools: map[string]*poolRunner{}, taken: map[job.ID]takenJob{}, loading: map[job.ID]*jobs.Job{},
-		progress: map[job.ID][]byte{}, cancelled: map[job.ID]struct{}{},
+		progress: map[job.ID]map[int][]byte{}, cancelled: map[job.ID]struct{}{},
 		held: map[job.ID]*heldJob{}, settling: map[string]bool{}, forwarded: map[job.ID]forwardedJob{},
 	}
 	p.intakes = handover.NewTable(id.Number, func(pool string) int { return host.partitionOf(pool).Number })
@@ -173,9 +184,9 @@
 // their pools. The lock is held.
 func (p *partition) fold() {
 	for id, state := range p.loading {
-		data, taken := p.progress[id]
+		parts, taken := p.progress[id]
 		if taken {
-			if err := state.ApplyProgress(data); err != nil {
+			if err := state.ApplyParts(parts); err != nil {
 				p.host.events.Event("record-unreadable", "topic", p.id.Topic, "partition", p.id.Number, "key", keyProgress+string(id), "error", err)
 			}
 		}
@@ -236,22 +247,24 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, record := range records {
-		prefix, id, ok := strings.Cut(record.Key, "/")
-		if !ok || len(record.Value) == 0 {
-			continue
+		if len(record.Value) > 0 {
+			p.applyRecord(record)
 		}
-		p.applyRecord(prefix+"/", job.ID(id), record)
 	}
 }
 
-func (p *partition) applyRecord(prefix string, id job.ID, record keyedlog.Record) {
+func (p *partition) applyRecord(record keyedlog.Record) {
+	prefix, id, part := parseKey(record.Key)
 	switch prefix {
 	case keyJob:
 		p.applyJob(id, record)
 	case keyProgress:
 		// After loading, only this tenure writes progress.
 		if !p.loaded.Load() {
-			p.progress[id] = record.Value
+			if p.progress[id] == nil {
+				p.progress[id] = map[int][]byte{}
+			}
+			p.progress[id][part] = record.Value
 		}
 	case keyCancel:
 		p.applyCancel(id)
@@ -331,6 +344,7 @@
 // or the pool no longer. The lock is held.
 func (p *partition) take(state *jobs.Job) {
 	id := state.ID
+	state.SplitProgress(p.host.tasksPerPart())
 	runner := p.runner(state.Pool)
 	p.taken[id] = takenJob{runner: runner, job: state.Job, sum: recordSum(state.Job)}
 	delete(p.forwarded, id)
@@ -345,17 +359,40 @@
 	runner.signal()
 }
 
+// discard drops a job whose record the log refuses: its caller is told that it was not accepted.
+func (p *partition) discard(id job.ID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h, ok := p.held[id]; ok {
+		delete(p.held, id)
+		close(h.settled)
+	}
+	if t, ok := p.taken[id]; ok {
+		t.runner.pool.CancelJob(id, p.host.now())
+	}
+}
+
+// fail ends a job of whose progress the log refuses a record.
+func (p *partition) fail(id job.ID) {
+	p.mu.Lock()
+	t, ok := p.taken[id]
+	p.mu.Unlock()
+	if ok {
+		t.runner.pool.Refused(id, p.host.now())
+	}
+}
+
 // sweep periodically removes jobs that ended long ago from the pools and from the log.
 func (p *partition) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait(ctx, sweepInterval)
-		var gone []job.ID
+		var gone []schedule.Forgotten
 		p.mu.Lock()
 		for _, runner := range p.pools {
 			gone = append(gone, runner.pool.Forget(p.host.now())...)
 		}
-		for _, id := range gone {
-			delete(p.taken, id)
+		for _, g := range gone {
+			delete(p.taken, g.ID)
 		}
 		maps.DeleteFunc(p.forwarded, func(_ job.ID, f forwardedJob) bool { return p.host.now().Sub(f.at) > forwardedRetention })
 		p.mu.Unlock()
--- a/internal/jobhost/queue_intake.go
+++ b/internal/jobhost/queue_intake.go
@@ -245,8 +245,8 @@
 }
 
 func (p *partition) awaitRecorded(ctx context.Context, submitted *submittedRecord) error {
-	if v, message := p.recorder.await(ctx, submitted); v != verdict.Ran {
-		return errors.Newf("the log has not confirmed a record: %s", message)
+	if o := p.recorder.await(ctx, submitted); o.verdict != verdict.Ran {
+		return errors.Newf("the log has not confirmed a record: %s", o.message)
 	}
 	return nil
 }
--- a/internal/jobhost/recorder.go
+++ b/internal/jobhost/recorder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -12,6 +13,7 @@
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/verdict"
+	"github.com/hornbeammast/hornbeammast/internal/state/jobs"
 )
 
 var errTenureOver = errors.New("the tenure has ended or is not confirmed; no order was sent")
@@ -21,7 +23,7 @@
 type recorder struct {
 	partition *partition
 	wake      chan struct{}
-	dropped   chan []job.ID
+	dropped   chan []schedule.Forgotten
 	appender  *appender
 
 	mu sync.Mutex
@@ -35,21 +37,34 @@
 	record keyedlog.Record
 	// sent is set once the record has been taken for an append, which may have been sent.
 	sent bool
-	done chan verdict.Verdict
+	done chan outcome
 }
 
+// outcome is what has become of a record. If it is refused, the log won't ever take it.
+type outcome struct {
+	verdict verdict.Verdict
+	message string
+	refused bool
+}
+
+var (
+	ownerChanged = outcome{verdict: verdict.NotRun, message: "the partition's owner has changed"}
+	unconfirmed  = outcome{verdict: verdict.MayHaveRun, message: "the log has not confirmed the record to the partition's owner"}
+	tooLarge     = outcome{verdict: verdict.NotRun, message: "the log refuses the record for good, such as one that is too large", refused: true}
+)
+
 // submit adds a record to the next append and waits for its outcome.
-func (r *recorder) submit(ctx context.Context, record keyedlog.Record) (verdict.Verdict, string) {
+func (r *recorder) submit(ctx context.Context, record keyedlog.Record) outcome {
 	return r.await(ctx, r.enqueue(record))
 }
 
 // enqueue adds a record to the next append. Records are appended in this order.
 func (r *recorder) enqueue(record keyedlog.Record) *submittedRecord {
-	s := &submittedRecord{record: record, done: make(chan verdict.Verdict, 1)}
+	s := &submittedRecord{record: record, done: make(chan outcome, 1)}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.closed {
-		s.done <- verdict.NotRun
+		s.done <- ownerChanged
 		return s
 	}
 	r.submitted = append(r.submitted, s)
@@ -58,25 +73,25 @@
 }
 
 // await waits for the outcome of a record's append.
-func (r *recorder) await(ctx context.Context, s *submittedRecord) (verdict.Verdict, string) {
+func (r *recorder) await(ctx context.Context, s *submittedRecord) outcome {
 	select {
-	case v := <-s.done:
-		return v, "the partition's owner has changed"
+	case o := <-s.done:
+		return o
 	case <-ctx.Done():
-		return r.withdraw(s), "the log did not answer the partition's owner in time"
+		return r.withdraw(s)
 	}
 }
 
 // withdraw removes a record that is still queued; one that was taken for an append may
 // have been written.
-func (r *recorder) withdraw(s *submittedRecord) verdict.Verdict {
+func (r *recorder) withdraw(s *submittedRecord) outcome {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s.sent {
-		return verdict.MayHaveRun
+		return unconfirmed
 	}
 	r.submitted = slices.DeleteFunc(r.submitted, func(other *submittedRecord) bool { return other == s })
-	return verdict.NotRun
+	return outcome{verdict: verdict.NotRun, message: "the log did not answer the partition's owner in time"}
 }
 
 // takeSubmitted returns the queued records and marks them as sent.
@@ -97,14 +112,14 @@
 	defer r.mu.Unlock()
 	r.closed = true
 	for _, s := range r.submitted {
-		s.done <- verdict.NotRun
+		s.done <- ownerChanged
 	}
 	r.submitted = nil
 }
 
 func newRecorder(p *partition) *recorder {
 	return &recorder{
-		partition: p, wake: make(chan struct{}, 1), dropped: make(chan []job.ID, 1), appender: newAppender(p.host, p.id, p.token),
+		partition: p, wake: make(chan struct{}, 1), dropped: make(chan []schedule.Forgotten, 1), appender: newAppender(p.host, p.id, p.token),
 	}
 }
 
@@ -117,12 +132,12 @@
 
 // drop deletes the records of jobs from the log. If another drop is still queued, this
 // one is skipped and left to the sweep of a later owner.
-func (r *recorder) drop(ids []job.ID) {
-	if len(ids) == 0 {
+func (r *recorder) drop(gone []schedule.Forgotten) {
+	if len(gone) == 0 {
 		return
 	}
 	select {
-	case r.dropped <- ids:
+	case r.dropped <- gone:
 	default:
 	}
 }
@@ -134,6 +149,7 @@
 		if r.append(ctx, nil) {
 			return
 		}
+		wait(ctx, retryPause)
 	}
 }
 
@@ -144,8 +160,12 @@
 		select {
 		case <-ctx.Done():
 			return
-		case ids := <-r.dropped:
-			r.append(ctx, dropRecords(ids))
+		case gone := <-r.dropped:
+			for _, records := range r.partition.host.settings.LogLimits.Split(dropRecords(gone)) {
+				if !r.append(ctx, records) {
+					break
+				}
+			}
 		case <-r.wake:
 			r.record(ctx)
 		}
@@ -180,20 +200,23 @@
 			continue
 		}
 		batches = append(batches, poolBatch{runner, changes})
-		for id, data := range changes.Progress {
-			records = append(records, keyedlog.Record{Key: keyProgress + string(id), Value: data})
+		for id, parts := range changes.Progress {
+			records = append(records, progressRecords(id, parts)...)
 		}
 	}
-	written := len(records) == 0 || r.append(ctx, records)
+	lost, written := r.appendAll(ctx, records)
 	if written {
+		r.giveUp(lost)
 		r.partition.apply(withPrefix(records, keyCancel))
 	}
-	r.answer(submitted, written)
+	r.answer(submitted, lost, written)
 	for _, b := range batches {
 		if written {
 			b.runner.startAll(ctx, b.runner.pool.Recorded(b.changes, r.partition.host.now()))
 			b.runner.recorded.notify()
-			b.runner.signal()
+			if len(records) > 0 {
+				b.runner.signal()
+			}
 		} else {
 			b.runner.pool.RecordFailed(b.changes)
 		}
@@ -203,6 +226,61 @@
 	}
 }
 
+// appendAll appends records in as many calls as their size needs, and returns the keys of those
+// that the log refuses for good; written is false if the tenure has ended before. One record that
+// can't be kept must not hold up the others.
+func (r *recorder) appendAll(ctx context.Context, records []keyedlog.Record) (lost map[string]struct{}, written bool) {
+	lost = map[string]struct{}{}
+	limits := r.partition.host.settings.LogLimits
+	fitting := slices.DeleteFunc(slices.Clone(records), func(record keyedlog.Record) bool {
+		fits := limits.Fits(&record)
+		if !fits {
+			r.refused(&record, lost)
+		}
+		return !fits
+	})
+	for _, call := range limits.Split(fitting) {
+		if len(call) > 0 && !r.appendCall(ctx, call, lost) {
+			return lost, false
+		}
+	}
+	return lost, true
+}
+
+// appendCall appends the records of one call. If the log refuses them for good, it finds out which.
+func (r *recorder) appendCall(ctx context.Context, records []keyedlog.Record, lost map[string]struct{}) bool {
+	err := r.appendOnce(ctx, records)
+	if !refused(err) {
+		return err == nil
+	}
+	if len(records) == 1 {
+		r.refused(&records[0], lost)
+		return true
+	}
+	half := len(records) / 2
+	return r.appendCall(ctx, records[:half], lost) && r.appendCall(ctx, records[half:], lost)
+}
+
+// refused notes that the log won't ever take a record.
+func (r *recorder) refused(record *keyedlog.Record, lost map[string]struct{}) {
+	lost[record.Key] = struct{}{}
+	r.partition.host.events.Event("record-refused", "topic", r.partition.id.Topic, "partition", r.partition.id.Number, "key", record.Key,
+		"bytes", record.Size(), "limit", r.partition.host.settings.LogLimits.Record)
+}
+
+// giveUp ends the jobs of which the log refuses a record: a job that is not kept was not accepted,
+// and one whose progress can't be kept fails.
+func (r *recorder) giveUp(lost map[string]struct{}) {
+	for key := range lost {
+		switch prefix, id, _ := parseKey(key); prefix {
+		case keyJob:
+			r.partition.discard(id)
+		case keyProgress:
+			r.partition.fail(id)
+		}
+	}
+}
+
 func withPrefix(records []keyedlog.Record, prefix string) []keyedlog.Record {
 	var found []keyedlog.Record
 	for _, record := range records {
@@ -214,33 +292,75 @@
 }
 
 // answer reports the outcome of submitted records to the callers and peers that wait.
-func (r *recorder) answer(submitted []*submittedRecord, written bool) {
+func (r *recorder) answer(submitted []*submittedRecord, lost map[string]struct{}, written bool) {
 	for _, s := range submitted {
-		if written {
-			s.done <- verdict.Ran
-			continue
+		_, isLost := lost[s.record.Key]
+		switch {
+		case isLost:
+			s.done <- tooLarge
+		case written:
+			s.done <- outcome{verdict: verdict.Ran}
+		default:
+			// The append may have succeeded although its answer was lost.
+			s.done <- unconfirmed
 		}
-		// The append may have succeeded although its answer was lost.
-		s.done <- verdict.MayHaveRun
 	}
 }
 
 // append retries until the log confirms the records, and returns false if the tenure
-// ends first.
+// ends first or the log refuses them for good.
 func (r *recorder) append(ctx context.Context, records []keyedlog.Record) bool {
+	return r.appendOnce(ctx, records) == nil
+}
+
+func (r *recorder) appendOnce(ctx context.Context, records []keyedlog.Record) error {
 	err := r.appender.append(ctx, records)
 	if errors.Is(err, keyedlog.ErrFenced) {
 		r.partition.onFenced()
 		<-ctx.Done()
 	}
-	return err == nil
+	return err
+}
+
+// progressKey returns the key of a part of a job's progress.
+func progressKey(id job.ID, part int) string {
+	if part == 0 {
+		return keyProgress + string(id)
+	}
+	return keyProgress + string(id) + "/" + strconv.Itoa(part)
+}
+
+// parseKey returns the prefix of a record's key, with the job and the part of its progress.
+func parseKey(key string) (prefix string, id job.ID, part int) {
+	prefix, rest, ok := strings.Cut(key, "/")
+	if !ok {
+		return "", "", 0
+	}
+	name, number, divided := strings.Cut(rest, "/")
+	if divided {
+		n, err := strconv.Atoi(number)
+		if err != nil || n < 1 || prefix+"/" != keyProgress {
+			return "", "", 0
+		}
+		part = n
+	}
+	return prefix + "/", job.ID(name), part
+}
+
+func progressRecords(id job.ID, parts []jobs.Part) []keyedlog.Record {
+	records := make([]keyedlog.Record, 0, len(parts))
+	for _, part := range parts {
+		records = append(records, keyedlog.Record{Key: progressKey(id, part.Number), Value: part.Data})
+	}
+	return records
 }
 
-func dropRecords(ids []job.ID) []keyedlog.Record {
-	records := make([]keyedlog.Record, 0, 3*len(ids))
-	for _, id := range ids {
-		for _, prefix := range []string{keyJob, keyProgress, keyCancel} {
-			records = append(records, keyedlog.Record{Key: prefix + string(id)})
+func dropRecords(gone []schedule.Forgotten) []keyedlog.Record {
+	records := make([]keyedlog.Record, 0, 3*len(gone))
+	for _, g := range gone {
+		records = append(records, keyedlog.Record{Key: keyJob + string(g.ID)}, keyedlog.Record{Key: keyCancel + string(g.ID)})
+		for part := range max(1, g.Parts) {
+			records = append(records, keyedlog.Record{Key: progressKey(g.ID, part)})
 		}
 	}
 	return records
--- a/internal/protocol/keyedlog/keyed_log.go
+++ b/internal/protocol/keyedlog/keyed_log.go
@@ -81,3 +81,33 @@
 func (e *SequenceError) Error() string {
 	return "append out of sequence; the log expects number " + strconv.FormatInt(e.Expected, 10)
 }
+
+// Limits are the log's limits on appends, in bytes. 0 stands for no limit.
+type Limits struct {
+	// Record bounds one record, its key included, Call all records of an append.
+	Record, Call int
+}
+
+// recordOverhead bounds what the log counts for a record beside its key and its value: their
+// lengths.
+const recordOverhead = 5
+
+// Size returns the size of a record as Limits counts it.
+func (r *Record) Size() int { return recordOverhead + len(r.Key) + len(r.Value) }
+
+// Fits reports whether the log takes a record of this size.
+func (l Limits) Fits(r *Record) bool { return l.Record == 0 || r.Size() <= l.Record }
+
+// Split divides records into appends that the log takes, in order.
+func (l Limits) Split(records []Record) [][]Record {
+	var calls [][]Record
+	begin, size := 0, 0
+	for n := range records {
+		if s := records[n].Size(); n > begin && l.Call > 0 && size+s > l.Call {
+			calls = append(calls, records[begin:n])
+			begin, size = n, 0
+		}
+		size += records[n].Size()
+	}
+	return append(calls, records[begin:])
+}
--- a/internal/protocol/settings/job_settings.go
+++ b/internal/protocol/settings/job_settings.go
@@ -42,6 +42,9 @@
 	// MinGroupTTL is the shortest time after which an unresponsive member may lose its
 	// partitions.
 	MinGroupTTL fleet.Duration `json:"least-group-ttl,omitempty"`
+	// RecordBytes and CallBytes are the log's limits on a record and on an append.
+	RecordBytes int `json:"record-bytes,omitempty"`
+	CallBytes   int `json:"call-bytes,omitempty"`
 	// ReportInterval is how often workers report about themselves in the log.
 	ReportInterval fleet.Duration `json:"report-interval,omitempty"`
 	// MachineOrdersPerSecond and MachineReadsPerSecond are rate limits of the machine
@@ -101,7 +104,7 @@
 	return JobSettings{
 		Platform: PlatformSettings{
 			MinGroupTTL: fleet.Duration(time.Second), ReportInterval: fleet.Duration(1500 * time.Millisecond),
-			MachineOrdersPerSecond: 8, MachineReadsPerSecond: 8,
+			MachineOrdersPerSecond: 8, MachineReadsPerSecond: 8, RecordBytes: 256 << 10, CallBytes: 2 << 20,
 		},
 		Bounds: Bounds{
 			MaxLease: fleet.Duration(10 * time.Second), MoveTime: fleet.Duration(2 * time.Second),
@@ -145,6 +148,20 @@
 	return s, errors.Wrap(s.Validate(), path)
 }
 
+// validateLog returns an error for the first invalid setting of the log.
+func (s *PlatformSettings) validateLog() error {
+	if s.Partitions < 1 {
+		return errors.New("platform: partitions must be above 0")
+	}
+	if s.RecordBytes < minRecordBytes || s.CallBytes < s.RecordBytes {
+		return errors.Newf("platform: record-bytes must be at least %d, and call-bytes not below it", minRecordBytes)
+	}
+	return nil
+}
+
+// minRecordBytes is the smallest limit on a record with which jobs can be kept.
+const minRecordBytes = 4 << 10
+
 // Validate returns an error for the first invalid setting.
 func (s JobSettings) Validate() error {
 	if s.Name == "" || s.DataCentre == "" {
@@ -158,8 +175,8 @@
 			return errors.Newf("%s must be an IP and a port", name)
 		}
 	}
-	if s.Platform.Partitions < 1 {
-		return errors.New("platform: partitions must be above 0")
+	if err := s.Platform.validateLog(); err != nil {
+		return err
 	}
 	if s.Bounds.MaxLease < fleet.Duration(time.Second) {
 		return errors.New("bounds: max-lease must be at least 1s")
--- a/internal/state/jobs/crashes.go
+++ b/internal/state/jobs/crashes.go
@@ -2,8 +2,6 @@
 
 import (
 	"slices"
-
-	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
 )
 
 // MarkCrashed adds a run that was lost because its host crashed, and reports whether it was
@@ -65,14 +63,3 @@
 	}
 	return found
 }
-
-func (j *Job) applyCrashes(occurrence, step int, m *wire.StepProgress) {
-	for _, crashes := range m.GetCrashes() {
-		if !j.HasTask(occurrence, step, int(crashes.GetIndex())) {
-			continue
-		}
-		for _, run := range crashes.GetRuns() {
-			j.MarkCrashed(occurrence, step, int(crashes.GetIndex()), run)
-		}
-	}
-}
--- a/internal/state/jobs/job.go
+++ b/internal/state/jobs/job.go
@@ -23,6 +23,12 @@
 
 	occurrences map[int]*Occurrence
 	done        int
+
+	// tasksPerPart is how many tasks a part of the progress covers, 0 for all. written holds a
+	// checksum of each part that may be in the log, 0 if it is to be written again, and parts is one
+	// more than the highest part ever.
+	tasksPerPart, parts int
+	written             map[int]uint64
 }
 
 // Placement is a run and its host. It is recorded before the run is started.
@@ -63,7 +69,7 @@
 
 // New returns a job without progress.
 func New(j *job.Job) *Job {
-	return &Job{Job: j, occurrences: map[int]*Occurrence{}}
+	return &Job{Job: j, occurrences: map[int]*Occurrence{}, written: map[int]uint64{}}
 }
 
 // Occurrence returns the progress of an occurrence; number must be below
