All members of a gang resume from one checkpoint

Cause: a checkpoint was kept for each task, and each member resumed from its own. Evidence: run-start of the four members of one run with four values, run-ended how=alone 3 s later. Change: the step of a gang keeps the newest checkpoint of any member, of the newest run; all members of a run are started with it. The emulator's checkpoints differ by member and by work, its gangs work only with one, and end whole however a member ends; its ledger checks both. Why it works: the value of any member is valid for the gang, and one place keeps it.

--- a/internal/coordination/schedule/outcome.go
+++ b/internal/coordination/schedule/outcome.go
@@ -35,8 +35,8 @@
 	}
 	e.started, e.begun = true, true
 	t.lastRun = max(t.lastRun, end.Run)
-	if end.Checkpoint != "" && !t.done() {
-		t.checkpoint = end.Checkpoint
+	if !t.done() {
+		t.saved(end.Run, end.Checkpoint)
 	}
 	p.events.Event("run-ended", "task", end.Task, "run", end.Run, "host", h.report.ID, "how", end.Outcome, "known", r != nil)
 	switch end.Outcome {
@@ -198,7 +198,7 @@
 	saved := row.Checkpoint != "" && row.Checkpoint != r.checkpoint
 	if saved {
 		r.checkpoint = row.Checkpoint
-		r.task.checkpoint = row.Checkpoint
+		r.task.saved(r.number, row.Checkpoint)
 	}
 	switch needs := r.task.step.def.Needs.CPU; {
 	case saved || (row.Usage > 0 && float64(row.Usage) >= workShare*float64(needs)):
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -100,7 +100,7 @@
 	e := t.step.job
 	r := &run{
 		task: t, name: t.name(), number: number, host: h, needs: t.step.def.Reserved(), state: stateRecording, unsent: true,
-		sentAt: now, resumed: t.checkpoint != "", speed: fullSpeed, speedSent: fullSpeed, checkpoint: t.checkpoint,
+		sentAt: now, resumed: t.resumesFrom() != "", speed: fullSpeed, speedSent: fullSpeed, checkpoint: t.resumesFrom(),
 		placedAt: h.clockNow(now), earlierHangs: t.hangs,
 	}
 	p.attach(r)
--- a/internal/coordination/schedule/task.go
+++ b/internal/coordination/schedule/task.go
@@ -39,8 +39,12 @@
 	number     int
 	tasks      []*task
 	// gangRun is the current run number of a gang, which all its members share.
-	gangRun        int64
-	placementCheck *placementCheck
+	gangRun int64
+	// gangCheckpoint is the newest checkpoint of any member of a gang, of the run gangCheckpointRun.
+	// All members resume from the same one.
+	gangCheckpoint    string
+	gangCheckpointRun int64
+	placementCheck    *placementCheck
 	// worked is set once a run of the step was listed as working.
 	worked bool
 }
--- a/internal/emulator/site/gang.go
+++ b/internal/emulator/site/gang.go
@@ -13,8 +13,16 @@
 // gangs tracks which members of each gang run have started.
 type gangs struct {
 	mu sync.Mutex
-	// joined maps each gang run's joined members to the functions that start their work.
-	joined map[gangKey]map[int]func()
+	// joined maps each gang run to its members that have joined.
+	joined map[gangKey]map[int]gangMember
+}
+
+// gangMember is a member of a gang that has started.
+type gangMember struct {
+	// checkpoint is the one that it resumes from.
+	checkpoint string
+	// begin starts its work.
+	begin func()
 }
 
 // gangKey identifies one run of a gang.
@@ -25,21 +33,27 @@
 
 func (k runKey) gang() gangKey { return gangKey{k.task.StepName(), k.run} }
 
-// join adds a member; once all members have joined, each of them begins to work.
-func (g *gangs) join(key runKey, members int, begin func()) {
+// join adds a member; once all members have joined with the same checkpoint, each of them begins to
+// work.
+func (g *gangs) join(key runKey, members int, checkpoint string, begin func()) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	joined, ok := g.joined[key.gang()]
 	if !ok {
-		joined = map[int]func(){}
+		joined = map[int]gangMember{}
 		g.joined[key.gang()] = joined
 	}
-	joined[key.task.Index] = begin
+	joined[key.task.Index] = gangMember{checkpoint, begin}
 	if len(joined) < members {
 		return
 	}
 	for _, member := range joined {
-		time.AfterFunc(0, member)
+		if member.checkpoint != checkpoint {
+			return
+		}
+	}
+	for _, member := range joined {
+		time.AfterFunc(0, member.begin)
 	}
 }
 
--- a/internal/emulator/site/ledger.go
+++ b/internal/emulator/site/ledger.go
@@ -22,6 +22,8 @@
 	violations []string
 	// routes holds the pools to which the configurations send each queue.
 	routes map[string]map[string]bool
+	// gangCheckpoints holds the checkpoint with which the first member of each run was started.
+	gangCheckpoints map[gangKey]string
 	// Starts and Ends count runs, Moves and Maintained count accepted machine orders.
 	Starts, Ends, Moves, Maintained int
 }
@@ -99,7 +101,7 @@
 }
 
 func newLedger() *Ledger {
-	return &Ledger{jobs: map[job.ID]*submitted{}, cancels: map[job.ID]bool{}, tasks: map[worker.TaskName]*taskHistory{}, orders: map[string]machineOrder{}, routes: map[string]map[string]bool{}}
+	return &Ledger{jobs: map[job.ID]*submitted{}, cancels: map[job.ID]bool{}, tasks: map[worker.TaskName]*taskHistory{}, orders: map[string]machineOrder{}, routes: map[string]map[string]bool{}, gangCheckpoints: map[gangKey]string{}}
 }
 
 // Violations returns a message for each violation of a guarantee.
@@ -180,11 +182,6 @@
 	return s.actual[task.Step], true
 }
 
-func (l *Ledger) savesProgress(task worker.TaskName) bool {
-	t, ok := l.behaviour(task)
-	return ok && t.step.SavesProgress
-}
-
 func (l *Ledger) history(task worker.TaskName) *taskHistory {
 	h, ok := l.tasks[task]
 	if !ok {
--- a/internal/emulator/site/ledger_tasks.go
+++ b/internal/emulator/site/ledger_tasks.go
@@ -40,6 +40,7 @@
 	}
 	l.checkOrder(o, s, actual)
 	l.checkCrashes(o, h)
+	l.checkCheckpoint(o, actual)
 	h.running[runKey{o.Task, o.Run}] = w.id
 	h.endedByOrder = false
 	l.checkSpread(w, o.Task, actual)
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -95,7 +95,7 @@
 // New creates a site; seed initialises its random number generator.
 func New(layout Layout, seed uint64, events func(host string) Events) *Site {
 	s := &Site{
-		gangs: gangs{joined: map[gangKey]map[int]func(){}}, uncheckedPools: layout.UncheckedPools, heartbeats: layout.Heartbeats,
+		gangs: gangs{joined: map[gangKey]map[int]gangMember{}}, uncheckedPools: layout.UncheckedPools, heartbeats: layout.Heartbeats,
 		lostOrdersOf: map[string]float64{}, ledger: newLedger(), events: events, maxLease: maxLease, rng: rand.New(rand.NewPCG(seed, 1)), //nolint:gosec // Not for secrets.
 		workers: map[worker.ID]*Worker{}, machines: map[string]*simMachine{}, waves: map[int64]machine.Wave{},
 		hosts: map[string]*EntryHost{}, faults: map[string]StoreFault{}, isolated: map[string]bool{},
--- a/internal/emulator/site/worker.go
+++ b/internal/emulator/site/worker.go
@@ -73,14 +73,19 @@
 
 // taskRun is a live run on a worker.
 type taskRun struct {
-	key        runKey
-	needs      worker.Resources
-	began      time.Time
+	key   runKey
+	needs worker.Resources
+	began time.Time
+	// checkpoint is the one that the run resumes from; saves means that it makes new ones.
 	checkpoint string
+	saves      bool
 	stopping   bool
-	// working is set once the run works; a member of a gang first waits for the others.
-	working bool
-	timer   *time.Timer
+	// working is set once the run works, at workedSince; a member of a gang first waits for the
+	// others.
+	working     bool
+	workedSince time.Time
+	gang        bool
+	timer       *time.Timer
 }
 
 func newWorker(s *Site, id worker.ID, m *simMachine, clockRate float64) *Worker {
@@ -152,7 +157,9 @@
 		w.site.ledger.reportViolation("a task that nobody submitted was started: %s by %s", o.Task, from)
 		return reply(worker.RefusedInvalid)
 	}
-	r := &taskRun{key: key, needs: actual.step.Reserved(), began: time.Now(), checkpoint: o.Checkpoint}
+	r := &taskRun{
+		key: key, needs: actual.step.Reserved(), began: time.Now(), checkpoint: o.Checkpoint, saves: actual.step.SavesProgress, gang: actual.step.Gang,
+	}
 	if w.checksCapacity && !r.needs.Fits(w.free()) {
 		return reply(worker.RefusedCapacity)
 	}
@@ -172,7 +179,7 @@
 // begin starts the work of a run; the members of a gang work once all have joined.
 func (w *Worker) begin(r *taskRun, actual taskBehaviour) {
 	if actual.step.Gang {
-		w.site.gangs.join(r.key, actual.step.Tasks, func() {
+		w.site.gangs.join(r.key, actual.step.Tasks, r.checkpoint, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			if w.runs[r.key] == r && !w.dead {
@@ -188,7 +195,7 @@
 // scheduleEnd starts the work of a run and schedules its end by itself, if it has one.
 func (w *Worker) scheduleEnd(r *taskRun, actual taskBehaviour) {
 	outcome, after := worker.OutcomeDone, actual.duration
-	r.working = true
+	r.working, r.workedSince = true, time.Now()
 	if r.timer != nil {
 		r.timer.Stop()
 	}
@@ -202,9 +209,7 @@
 	case actual.step.LongRunning:
 		return
 	}
-	if r.checkpoint != "" {
-		after /= 2
-	}
+	after = max(0, after-progressOf(r.checkpoint))
 	r.timer = time.AfterFunc(after, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -238,10 +243,10 @@
 		r.timer.Stop()
 	}
 	w.highestEndedRun[r.key.task] = max(w.highestEndedRun[r.key.task], r.key.run)
-	checkpoint := r.checkpoint
-	if outcome != worker.OutcomeDone && time.Since(r.began) > checkpointInterval && w.site.ledger.savesProgress(r.key.task) {
-		checkpoint = "saved"
+	if r.gang && r.working && outcome != worker.OutcomeDone && outcome != worker.OutcomeGangBroken {
+		w.site.endGang(r.key, outcome, w)
 	}
+	checkpoint := r.lastCheckpoint(outcome == worker.OutcomeStopped)
 	w.lastEnd++
 	w.endedRuns = append(w.endedRuns, worker.EndedRun{Number: w.lastEnd, Task: r.key.task, Run: r.key.run, Outcome: outcome, Checkpoint: checkpoint})
 	w.expiriesAtEnd[w.lastEnd] = w.expiries
@@ -303,7 +308,7 @@
 	}
 	reply := worker.RenewalReply{Clock: w.clock(), Incarnation: w.incarnation, Ended: slices.Clone(w.endedRuns)}
 	for key, r := range w.runs {
-		reply.Running = append(reply.Running, worker.ActiveRun{Task: key.task, Run: key.run, Checkpoint: r.checkpoint, Percent: 100, Usage: 1})
+		reply.Running = append(reply.Running, worker.ActiveRun{Task: key.task, Run: key.run, Checkpoint: r.lastCheckpoint(false), Percent: 100, Usage: 1})
 	}
 	return reply, nil
 }
@@ -321,6 +326,9 @@
 			r.timer.Stop()
 		}
 		w.site.gangs.leave(key)
+		if r.gang && r.working {
+			w.site.endGang(key, worker.OutcomeGangBroken, w)
+		}
 		w.site.ledger.endedWithWorker(w, key)
 	}
 	clear(w.runs)
