Entries that name no worker to use are passed over, also if they can be decoded

What was reported: one odd entry among those of the workers ended the machines that read the list, or stopped them. Here none ended and the reader went on, but entries with port 0, capacities that are negative or the largest number, and keys that are empty, no text or hold a line break were listed as hosts, and an unreadable entry was logged only if its worker was known. Cause: decoding was taken for checking. Why it works: an entry becomes a host only if it can be called and its capacity added up, and each entry is judged by itself.

--- a/internal/jobhost/tenures.go
+++ b/internal/jobhost/tenures.go
@@ -8,6 +8,10 @@
 
 // Acquire begins the tenure of a partition with its fencing token.
 func (h *JobHost) Acquire(id keyedlog.Partition, token int64) {
+	if id.Topic != TopicJobs || id.Number < 0 || id.Number >= h.settings.Partitions {
+		h.events.Event("partition-unknown", "topic", id.Topic, "partition", id.Number, "partitions", h.settings.Partitions)
+		return
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.closed {
--- a/internal/jobhost/views.go
+++ b/internal/jobhost/views.go
@@ -1,6 +1,7 @@
 package jobhost
 
 import (
+	"strconv"
 	"sync"
 	"sync/atomic"
 
@@ -105,12 +106,18 @@
 
 	mu    sync.Mutex
 	hosts map[worker.ID]worker.Report
+	// unreadable holds the entries that were logged as unreadable, maxUnreadable of them.
+	unreadable map[worker.ID]struct{}
 }
 
+// maxUnreadable bounds how many entries are logged as unreadable until they are readable or gone.
+const maxUnreadable = 256
+
 func (v *hostsView) reset() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	clear(v.hosts)
+	clear(v.unreadable)
 }
 
 func (v *hostsView) apply(records []keyedlog.Record) {
@@ -130,20 +137,34 @@
 	before, known := v.hosts[id]
 	if len(record.Value) == 0 {
 		delete(v.hosts, id)
+		delete(v.unreadable, id)
 		return known
 	}
 	report, err := v.codec.Report(record)
+	if err == nil {
+		err = report.Validate()
+	}
 	if err != nil {
-		if known {
-			v.events.Event("report-unreadable", "host", id, "offset", record.Offset, "error", err)
-		}
+		v.noteUnreadable(id, record, known, err)
 		delete(v.hosts, id)
 		return known
 	}
+	delete(v.unreadable, id)
 	v.hosts[id] = report
 	return before != report
 }
 
+// noteUnreadable logs an entry that names no worker to use, once until it is readable. The lock is
+// held.
+func (v *hostsView) noteUnreadable(id worker.ID, record keyedlog.Record, known bool, cause error) {
+	_, logged := v.unreadable[id]
+	if logged || len(v.unreadable) >= maxUnreadable {
+		return
+	}
+	v.unreadable[id] = struct{}{}
+	v.events.Event("report-unreadable", "host", strconv.Quote(string(id)), "known", known, "offset", record.Offset, "bytes", len(record.Value), "error", cause)
+}
+
 // inPool returns the reports of a pool's hosts.
 func (v *hostsView) inPool(pool string) []worker.Report {
 	v.mu.Lock()
