Values of a submission that are too large for its record are limited, not cut

Cause: stepToProto cut the number to 32 bits; it became -1 and the record could not be read. may-miss, times and intervals had the same. Evidence: record-unreadable on the owner after job-submitted without an error. Change: job.Job.Limit before validation; EarliestStart does not overflow.

--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -60,6 +60,7 @@
 	j.Queue, j.Pool, j.Priority, j.MaxAttempts = q.Name, q.Pool, q.Priority, max(1, q.MaxAttempts)
 	j.Stretch, j.LatencyTarget, j.NeedsPlacementCheck = q.Stretch, q.LatencyTarget, q.NeedsPlacementCheck
 	j.QueueAddress, j.ConfigVersion, j.AcceptedAt = q.Address(), version, i.now()
+	j.Limit()
 	if err := j.Validate(); err != nil {
 		i.events.Event("job-refused", "job", j.ID, "queue", q.Name, "config", version, "error", err)
 		return verdict.NotRunError(verdict.CauseBadRequest, err.Error())
--- a/internal/protocol/job/job.go
+++ b/internal/protocol/job/job.go
@@ -107,6 +107,9 @@
 	if j.Occurrences == 0 {
 		return j.AcceptedAt
 	}
+	if occurrence > 0 && j.Interval > maxTime/time.Duration(occurrence) {
+		return j.FirstAt.Add(maxTime)
+	}
 	return j.FirstAt.Add(time.Duration(occurrence) * j.Interval)
 }
 
--- a/internal/protocol/job/validate.go
+++ b/internal/protocol/job/validate.go
@@ -1,6 +1,9 @@
 package job
 
 import (
+	"math"
+	"time"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -34,6 +37,28 @@
 	return true
 }
 
+const (
+	// maxTime is the longest time between occurrences, and from the first to the last one; no job
+	// lives that long.
+	maxTime = 100 * 365 * 24 * time.Hour
+	// maxTaskTime is the longest time of a task. Chains of tasks must not overflow.
+	maxTaskTime = 30 * 24 * time.Hour
+	// maxCount is the largest number that a record holds.
+	maxCount = math.MaxInt32
+)
+
+// Limit replaces values that are larger than any that makes a difference by the largest that does
+// not, so that they fit the record of the job.
+func (j *Job) Limit() {
+	j.Priority, j.MaxAttempts = min(j.Priority, maxCount), min(j.MaxAttempts, maxCount)
+	j.LatencyTarget, j.Interval = min(j.LatencyTarget, maxTaskTime), min(j.Interval, maxTime)
+	for n := range j.Steps {
+		s := &j.Steps[n]
+		s.Estimate, s.TailTarget = min(s.Estimate, maxTaskTime), min(s.TailTarget, maxTaskTime)
+		s.MaxPerHost, s.MaxUnavailable = min(s.MaxPerHost, MaxTasks), min(s.MaxUnavailable, MaxTasks)
+	}
+}
+
 // Validate returns an error for the first invalid value of a submission.
 func (j *Job) Validate() error {
 	if !ValidID(string(j.ID)) {
