The number of waiting jobs does not depend on owners that have none of them

Change: the owner of the queue's partition says whether it has all of the queue's jobs; only otherwise all are asked, and if some don't answer, the sum counts unless this entry host has seen the queue move. TestWaitingWhileAnotherOwnerIsAway.

--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -32,8 +32,8 @@
 	// Partitions returns all partitions, that of a pool first.
 	Partitions(pool string) []int
 	State(ctx context.Context, partition int, id job.ID) (state job.State, known, ok bool)
-	// Waiting takes the address of a queue.
-	Waiting(ctx context.Context, queue string) (waiting int, ok bool)
+	// Waiting takes the pool and the address of a queue.
+	Waiting(ctx context.Context, pool, queue string) (waiting int, ok bool)
 }
 
 // Events logs one structured line per request.
@@ -143,7 +143,7 @@
 // Waiting returns the number of the queue's jobs of which no task has started.
 func (i *Intake) Waiting(ctx context.Context, q *queue.Queue) (int, error) {
 	for {
-		if waiting, ok := i.owners.Waiting(ctx, q.Address()); ok {
+		if waiting, ok := i.owners.Waiting(ctx, q.Pool, q.Address()); ok {
 			return waiting, nil
 		}
 		if pause.For(ctx, ownerRetryPause) != nil {
--- a/internal/emulator/site/moved_queue_test.go
+++ b/internal/emulator/site/moved_queue_test.go
@@ -233,3 +233,26 @@
 		f.finish()
 	})
 }
+
+// TestWaitingWhileAnotherOwnerIsAway guards against callers who are kept from a count of waiting jobs by
+// the loss of an owner that has none of the queue's jobs.
+func TestWaitingWhileAnotherOwnerIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newMovedFixture(t, 30)
+		f.submit("tiles", []job.Step{newStep(2, 1000, time.Second)}, nil)
+		f.wait.Wait()
+		other := f.site.Owner("charts")
+		if other == f.site.Owner("maps") {
+			t.Fatal("both pools have the same owner")
+		}
+		f.site.KillHost(other)
+		// "serving" has had no job yet.
+		for _, name := range []string{"tiles", "serving"} {
+			began := time.Now()
+			if waiting := f.site.Waiting(name); waiting < 0 || time.Since(began) > time.Second {
+				t.Errorf("%d jobs of %s wait, answered after %s", waiting, name, time.Since(began))
+			}
+		}
+		f.finish()
+	})
+}
--- a/internal/jobhost/directory.go
+++ b/internal/jobhost/directory.go
@@ -227,21 +227,41 @@
 	return reply, nil
 }
 
-// Waiting returns the number of a queue's waiting jobs in all partitions: those that were accepted
-// before the queue went to another pool may wait in another one.
-func (d *directory) Waiting(ctx context.Context, queue string) (int, bool) {
+// Waiting returns the number of a queue's waiting jobs. Jobs that were accepted before the queue went
+// to its pool may wait in other partitions; if the pool's own can't exclude that, all are asked.
+func (d *directory) Waiting(ctx context.Context, pool, queue string) (int, bool) {
 	owned := d.host.waitingInOwned(queue)
+	if owned.GetComplete() {
+		return int(owned.GetWaiting()), true
+	}
+	if address, ok := d.ownerOf(ctx, pool); ok && !d.unresponsive(address) {
+		reply, err := d.host.peers.Waiting(ctx, address, &wire.WaitingRequest{QueueAddress: queue})
+		if err != nil {
+			d.markUnresponsive(address)
+			return 0, false
+		}
+		if reply.GetComplete() {
+			return int(reply.GetWaiting()), true
+		}
+	}
+	return d.waitingInAll(ctx, owned, pool, queue)
+}
+
+// waitingInAll returns the number of a queue's waiting jobs in all partitions. If the queue has not
+// moved as far as this entry host knows, its pool's partition is enough.
+func (d *directory) waitingInAll(ctx context.Context, owned *wire.WaitingReply, pool, queue string) (int, bool) {
 	total := int(owned.GetWaiting())
 	answered := map[int32]struct{}{}
 	for _, n := range owned.GetPartitions() {
 		answered[n] = struct{}{}
 	}
-	peers := d.ownerAddresses(ctx)
+	peers := slices.DeleteFunc(d.ownerAddresses(ctx), d.unresponsive)
 	replies := make(chan *wire.WaitingReply, len(peers))
 	for _, address := range peers {
 		go func() {
 			reply, err := d.host.peers.Waiting(ctx, address, &wire.WaitingRequest{QueueAddress: queue})
 			if err != nil {
+				d.markUnresponsive(address)
 				d.host.events.Event("peer-silent", "peer", address, "call", "waiting", "error", err)
 			}
 			replies <- reply
@@ -254,11 +274,12 @@
 			answered[n] = struct{}{}
 		}
 	}
-	if len(answered) < d.host.settings.Partitions {
-		d.invalidate()
-		return 0, false
+	if len(answered) == d.host.settings.Partitions {
+		return total, true
 	}
-	return total, true
+	d.invalidate()
+	_, ok := answered[int32(d.host.partitionOf(pool).Number)] //nolint:gosec // Below Partitions.
+	return total, ok && !d.host.operators.hasMoved(queue)
 }
 
 // waitingInOwned returns the number of a queue's waiting jobs in the owned partitions.
@@ -266,7 +287,9 @@
 	reply := &wire.WaitingReply{}
 	for n := range h.settings.Partitions {
 		if p, ok := h.actingPartition(n); ok {
-			reply.Waiting += int32(p.waiting(queue))              //nolint:gosec // Far below 2^31 jobs.
+			waiting, complete := p.waiting(queue)
+			reply.Waiting += int32(waiting) //nolint:gosec // Far below 2^31 jobs.
+			reply.Complete = reply.GetComplete() || complete
 			reply.Partitions = append(reply.Partitions, int32(n)) //nolint:gosec // Below Partitions.
 		}
 	}
--- a/internal/jobhost/job_host.go
+++ b/internal/jobhost/job_host.go
@@ -119,7 +119,7 @@
 	}
 	h.server = server
 	h.peers = peer.NewJobClient(h.network)
-	h.operators = &operatorsView{codec: platform.Records, events: events, onChange: h.refresh, waves: map[int64]machine.Wave{}}
+	h.operators = &operatorsView{codec: platform.Records, events: events, onChange: h.refresh, waves: map[int64]machine.Wave{}, pools: map[string]map[string]struct{}{}}
 	h.hosts = &hostsView{codec: platform.Records, events: events, onChange: h.refresh, hosts: map[worker.ID]worker.Report{}, unreadable: map[worker.ID]struct{}{}}
 	h.reports = schedule.NewReportFeed(s.Limits)
 	member := memberName(&s, server.Address(), now())
--- a/internal/jobhost/queue_intake.go
+++ b/internal/jobhost/queue_intake.go
@@ -431,11 +431,11 @@
 	})
 }
 
-// waiting returns how many jobs of a queue have not begun.
-func (p *partition) waiting(queue string) int {
+// waiting returns how many jobs of a queue have not begun, and whether no other partition can have
+// any.
+func (p *partition) waiting(queue string) (n int, complete bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := 0
 	for _, r := range p.pools {
 		n += r.pool.Waiting(queue)
 	}
@@ -444,5 +444,6 @@
 			n++
 		}
 	}
-	return n
+	intake, known := p.intakes.Intake(queue)
+	return n, known && len(intake.Former) == 0 && p.host.partitionOf(intake.Pool) == p.id
 }
--- a/internal/jobhost/views.go
+++ b/internal/jobhost/views.go
@@ -23,6 +23,8 @@
 	waves  map[int64]machine.Wave
 	// record is the published record of the configuration in force.
 	record keyedlog.Record
+	// pools holds, by the address of a queue, the pools that configurations have sent it to.
+	pools map[string]map[string]struct{}
 }
 
 func (v *operatorsView) apply(records []keyedlog.Record) {
@@ -72,11 +74,30 @@
 	}
 	v.config.Store(config)
 	v.record = record
+	for n := range config.Queues {
+		v.notePool(&config.Queues[n])
+	}
 	v.mu.Unlock()
 	v.events.Event("config-in-force", "version", config.Version, "queues", len(config.Queues), "pools", len(config.Pools), "offset", record.Offset)
 	v.onChange()
 }
 
+// notePool notes the pool of a queue. The lock is held.
+func (v *operatorsView) notePool(q *queue.Queue) {
+	address := q.Address()
+	if v.pools[address] == nil {
+		v.pools[address] = map[string]struct{}{}
+	}
+	v.pools[address][q.Pool] = struct{}{}
+}
+
+// hasMoved reports whether configurations have sent a queue to several pools.
+func (v *operatorsView) hasMoved(address string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.pools[address]) > 1
+}
+
 // recordAbove returns the record of the configuration in force if its version is above the
 // given one, and an empty record otherwise.
 func (v *operatorsView) recordAbove(version int64) keyedlog.Record {
--- a/internal/protocol/job/record_test.go
+++ b/internal/protocol/job/record_test.go
@@ -14,11 +14,13 @@
 func TestWideBoundsAreKept(t *testing.T) {
 	const large = 1<<53 - 1
 	for name, change := range map[string]func(*Job, *Step){
-		"tasks on a host":    func(_ *Job, s *Step) { s.MaxPerHost = large },
-		"unavailable tasks":  func(_ *Job, s *Step) { s.MaxUnavailable = large },
-		"estimate":           func(_ *Job, s *Step) { s.Estimate = math.MaxInt64 },
-		"tail target":        func(_ *Job, s *Step) { s.TailTarget = math.MaxInt64 },
-		"interval":           func(j *Job, _ *Step) { j.Occurrences, j.Interval, j.FirstAt = MaxOccurrences, math.MaxInt64, time.UnixMilli(1) },
+		"tasks on a host":   func(_ *Job, s *Step) { s.MaxPerHost = large },
+		"unavailable tasks": func(_ *Job, s *Step) { s.MaxUnavailable = large },
+		"estimate":          func(_ *Job, s *Step) { s.Estimate = math.MaxInt64 },
+		"tail target":       func(_ *Job, s *Step) { s.TailTarget = math.MaxInt64 },
+		"interval": func(j *Job, _ *Step) {
+			j.Occurrences, j.Interval, j.FirstAt = MaxOccurrences, math.MaxInt64, time.UnixMilli(1)
+		},
 		"latency target":     func(j *Job, _ *Step) { j.LatencyTarget = math.MaxInt64 },
 		"priority, attempts": func(j *Job, _ *Step) { j.Priority, j.MaxAttempts = large, large },
 	} {
--- a/internal/transport/jobs/server_test.go
+++ b/internal/transport/jobs/server_test.go
@@ -49,7 +49,7 @@
 	return job.Queued, known, !f.ownerUnavailable
 }
 
-func (f *fakeHost) Waiting(context.Context, string) (int, bool) {
+func (f *fakeHost) Waiting(context.Context, string, string) (int, bool) {
 	return len(f.submitted), !f.ownerUnavailable
 }
 
