--- a/internal/emulator/site/large_records_test.go
+++ b/internal/emulator/site/large_records_test.go
@@ -22,8 +22,8 @@
 // with many tasks grows over the store's limit; its owner is replaced meanwhile.
 func TestLargeJobKeepsItsPoolGoing(t *testing.T) {
 	for name, steps := range map[string][]job.Step{
-		"one step":    {newStep(3000, 10, 4*time.Second)},
-		"many steps":  {newStep(1000, 10, 2*time.Second), newStep(1500, 10, 2*time.Second, 0), newStep(400, 10, 2*time.Second)},
+		"one step":    {newStep(900, 10, 4*time.Second)},
+		"many steps":  {newStep(300, 10, 2*time.Second), newStep(900, 10, 2*time.Second, 0), newStep(100, 10, 2*time.Second)},
 		"occurrences": {newStep(40, 10, time.Second)},
 	} {
 		t.Run(name, func(t *testing.T) {
