Emulator: callers that submit one job at the same time don't share its steps

The race detector found that Job.Limit writes to steps which TestHostsOnDifferentVersions shares between its callers. A caller of the product has a job of its own.

--- a/internal/emulator/site/callers.go
+++ b/internal/emulator/site/callers.go
@@ -72,6 +72,7 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 		sent := *j
+		sent.Steps = slices.Clone(j.Steps)
 		err := h.Intake().Submit(ctx, c.Version, q, &sent)
 		cancel()
 		if err == nil {
@@ -105,6 +106,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
 	again := *j
+	again.Steps = slices.Clone(j.Steps)
 	if err := h.Intake().Submit(ctx, c.Version, q, &again); err != nil {
 		return false
 	}
