Owners don't encode and log each job again as they load it; files that grew are split

Found by reading the change once more; no behaviour of the pools changes. Cause and change: since a queue is claimed, an owner encoded each job that it took to get a checksum of its record, and wrote a job-taken line for each as it loaded its partition; the checksum is now that of the bytes that were read, and loaded jobs are not logged, as before. ownedPool and three literals use actingPartition and jobsPartition. The test of a replaced owner reads the parts that were recorded again, not an encoding made for it. queue_intake, recorder, partition and schedule's pool are divided by moving declarations unchanged. Measured: tests of jobhost, coordination, emulator/site, transport/jobs and platform pass; lint is clean.

--- a/internal/coordination/schedule/harness_test.go
+++ b/internal/coordination/schedule/harness_test.go
@@ -26,6 +26,8 @@
 	pool *Pool
 	now  time.Time
 	ends map[worker.ID]int64
+	// records holds the parts of the progress of each job, as they were last recorded.
+	records map[job.ID]map[int][]byte
 }
 
 func newHarness(t *testing.T, hosts ...worker.ID) *harness {
@@ -42,7 +44,7 @@
 		Lease: 5 * time.Second, MaxLease: 10 * time.Second, MaxUnconfirmed: 6 * time.Second, RenewalWait: time.Second,
 		CheckpointInterval: 500 * time.Millisecond, NoticeTime: 4500 * time.Millisecond, StopTime: 400 * time.Millisecond, EndedJobRetention: time.Minute,
 	}
-	h := &harness{T: t, pool: New("maps", 7, limits, epoch, discardEvents{}), now: epoch, ends: map[worker.ID]int64{}}
+	h := &harness{T: t, pool: New("maps", 7, limits, epoch, discardEvents{}), now: epoch, ends: map[worker.ID]int64{}, records: map[job.ID]map[int][]byte{}}
 	h.list(hosts...)
 	for _, id := range hosts {
 		h.renew(id, 1)
@@ -117,12 +119,28 @@
 
 // recordQueued records and returns the starts that wait for their turn.
 func (h *harness) recordQueued() []Start {
+	h.Helper()
+	return h.pool.Recorded(h.takeUnrecorded(), h.now)
+}
+
+// takeUnrecorded takes what is to be recorded and keeps it in records.
+func (h *harness) takeUnrecorded() Unrecorded {
 	h.Helper()
 	u, err := h.pool.TakeUnrecorded()
 	if err != nil {
 		h.Fatal(err)
 	}
-	return h.pool.Recorded(u, h.now)
+	for id, parts := range u.Progress {
+		if h.records[id] == nil {
+			h.records[id] = map[int][]byte{}
+		}
+		for _, part := range parts {
+			if h.records[id][part.Number] = part.Data; part.Data == nil {
+				delete(h.records[id], part.Number)
+			}
+		}
+	}
+	return u
 }
 
 // accept answers starts as accepted.
--- a/internal/coordination/schedule/inherit_test.go
+++ b/internal/coordination/schedule/inherit_test.go
@@ -10,38 +10,31 @@
 )
 
 // replaceOwner makes the next owner's pool from the records of the present one.
-func (h *harness) replaceOwner(id job.ID, record []byte) {
+func (h *harness) replaceOwner(id job.ID, records map[int][]byte) {
 	h.Helper()
 	next := newHarness(h.T)
 	next.advance(h.now.Sub(next.now))
 	before := h.pool.jobs[id].Job.Job
 	*h = *next
 	inherited := jobs.New(before)
-	if err := inherited.ApplyProgress(record); err != nil {
+	if err := inherited.ApplyParts(records); err != nil {
 		h.Fatal(err)
 	}
 	h.pool.AddJob(inherited)
 }
 
-// progress records and returns the starts that go out and a job's record.
-func (h *harness) progress(id job.ID) ([]Start, []byte) {
+// progress records and returns the starts that go out and the records of a job's progress.
+func (h *harness) progress(id job.ID) ([]Start, map[int][]byte) {
 	h.Helper()
 	h.pool.Plan(h.now)
-	u, err := h.pool.TakeUnrecorded()
-	if err != nil {
-		h.Fatal(err)
-	}
+	u := h.takeUnrecorded()
 	var sent []Start
 	for _, s := range h.pool.Recorded(u, h.now) {
 		if order, ok := h.pool.BeginStart(s.Target.ID, s.Order, h.now); ok {
 			sent = append(sent, Start{Target: s.Target, Order: order})
 		}
 	}
-	record, err := h.pool.jobs[id].MarshalProgress()
-	if err != nil {
-		h.Fatal(err)
-	}
-	return sent, record
+	return sent, h.records[id]
 }
 
 // TestUnrecordedCrashIsForgottenWithTheOwner: an owner was replaced before it could record a crash
--- a/internal/emulator/site/callers.go
+++ b/internal/emulator/site/callers.go
@@ -45,11 +45,16 @@
 // SubmitDeclared submits a job whose tasks behave as declared, and reports whether it
 // was accepted.
 func (s *Site) SubmitDeclared(queueName string, j *job.Job) bool {
+	return s.Submit(queueName, j, declared(j))
+}
+
+// declared returns the behaviour that a job declares for its tasks.
+func declared(j *job.Job) []taskBehaviour {
 	actual := make([]taskBehaviour, len(j.Steps))
 	for n := range j.Steps {
 		actual[n] = taskBehaviour{step: &j.Steps[n], duration: j.Steps[n].Estimate}
 	}
-	return s.Submit(queueName, j, actual)
+	return actual
 }
 
 // Submit submits a job whose tasks behave as given, retries as callers do, and reports
@@ -95,14 +100,10 @@
 	if h == nil {
 		return false
 	}
-	actual := make([]taskBehaviour, len(j.Steps))
-	for n := range j.Steps {
-		actual[n] = taskBehaviour{step: &j.Steps[n], duration: j.Steps[n].Estimate}
-	}
 	q := queueNamed(c, queueName)
 	sent := *j
 	sent.Queue, sent.Pool, sent.MaxAttempts = queueName, q.Pool, q.MaxAttempts
-	s.ledger.submit(&sent, actual)
+	s.ledger.submit(&sent, declared(j))
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
 	again := *j
--- a/internal/emulator/site/moved_queue_test.go
+++ b/internal/emulator/site/moved_queue_test.go
@@ -33,6 +33,15 @@
 	return &c
 }
 
+// submitBeforeTheMove submits a job to "tiles" by the first version of the configuration.
+func (f *fixture) submitBeforeTheMove(j *job.Job) {
+	f.t.Helper()
+	f.queue[j.ID] = "tiles"
+	if !f.site.SubmitBy(movedTo(1, "maps"), "tiles", j) {
+		f.t.Fatalf("job %s was not accepted", j.ID)
+	}
+}
+
 // publish puts configurations in force, one after the other.
 func (f *fixture) publish(all ...*queue.Configuration) {
 	f.t.Helper()
@@ -96,10 +105,7 @@
 				f := newMovedFixture(t, 21)
 				all := movedJobs(time.Now())
 				for _, j := range all {
-					f.queue[j.ID] = "tiles"
-					if !f.site.SubmitBy(movedTo(1, "maps"), "tiles", j) {
-						t.Fatalf("job %s was not accepted", j.ID)
-					}
+					f.submitBeforeTheMove(j)
 				}
 				time.Sleep(2 * time.Second)
 				f.publish(c.afterwards...)
@@ -166,10 +172,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newMovedFixture(t, 27)
 		j := &job.Job{ID: JobID(1), Spec: "spec", Steps: []job.Step{newStep(2, 1000, 30*time.Second)}}
-		f.queue[j.ID] = "tiles"
-		if !f.site.SubmitBy(movedTo(1, "maps"), "tiles", j) {
-			t.Fatal("the job was not accepted")
-		}
+		f.submitBeforeTheMove(j)
 		moved := movedTo(2, "charts")
 		f.publish(moved)
 		f.site.SubmitBy(moved, "tiles", j)
@@ -196,10 +199,7 @@
 		step.RequiredLabel = "no-host-has-this"
 		for n := range 8 {
 			j := &job.Job{ID: JobID(1 + n), Spec: "spec", Steps: []job.Step{step}}
-			f.queue[j.ID] = "tiles"
-			if !f.site.SubmitBy(movedTo(1, "maps"), "tiles", j) {
-				t.Fatal("the job was not accepted")
-			}
+			f.submitBeforeTheMove(j)
 		}
 		time.Sleep(time.Second)
 		f.publish(movedTo(2, "charts"))
@@ -219,10 +219,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newMovedFixture(t, 29)
 		j := &job.Job{ID: JobID(1), Spec: "spec", Steps: []job.Step{newStep(2, 1000, 8*time.Second)}}
-		f.queue[j.ID] = "tiles"
-		if !f.site.SubmitBy(movedTo(1, "maps"), "tiles", j) {
-			t.Fatal("the job was not accepted")
-		}
+		f.submitBeforeTheMove(j)
 		moved := movedTo(2, "charts")
 		moved.Queues[1].Pool = "charts"
 		moved.Pools = moved.Pools[1:]
--- a/internal/jobhost/fleet_orders.go
+++ b/internal/jobhost/fleet_orders.go
@@ -6,7 +6,6 @@
 
 	"github.com/hornbeammast/hornbeammast/internal/coordination/capacity"
 	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
-	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/machine"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
@@ -177,6 +176,6 @@
 
 // reacquire requests a new tenure because a later owner of the machines was seen.
 func (f *fleetOwner) reacquire() {
-	partition := keyedlog.Partition{Topic: TopicJobs, Number: fleetOwnerPartition}
+	partition := jobsPartition(fleetOwnerPartition)
 	f.host.spawn(func() { f.host.keeper.Reacquire(partition, f.token) })
 }
--- a/internal/jobhost/job_host.go
+++ b/internal/jobhost/job_host.go
@@ -217,7 +217,7 @@
 // partitionOf returns the partition that holds a pool's records.
 func (h *JobHost) partitionOf(pool string) keyedlog.Partition {
 	number := xxhash.Sum64String(pool) % uint64(h.settings.Partitions) //nolint:gosec // Checked to be above 0.
-	return keyedlog.Partition{Topic: TopicJobs, Number: int(number)}   //nolint:gosec // Below Partitions.
+	return jobsPartition(int(number))                                  //nolint:gosec // Below Partitions.
 }
 
 // spawn runs a function in a goroutine that Close waits for; it returns false if the host
@@ -242,10 +242,8 @@
 // ownedPool returns a pool's runner if this entry host owns and has loaded
 // its partition, and its membership was confirmed recently enough to act (mayAct).
 func (h *JobHost) ownedPool(pool string) (*poolRunner, bool) {
-	h.mu.Lock()
-	p := h.partitions[h.partitionOf(pool)]
-	h.mu.Unlock()
-	if p == nil || !p.loaded.Load() || !h.mayAct(h.now()) {
+	p, ok := h.actingPartition(h.partitionOf(pool).Number)
+	if !ok {
 		return nil, false
 	}
 	return p.loadedRunner(pool)
--- a/internal/jobhost/log_recorder.go
+++ b/internal/jobhost/log_recorder.go
@@ -224,7 +224,7 @@
 
 // addForPeer adds a record on behalf of a peer.
 func (h *JobHost) addForPeer(ctx context.Context, request *wire.RelayRequest) *wire.RelayReply {
-	partition := keyedlog.Partition{Topic: TopicJobs, Number: int(request.GetPartition())}
+	partition := jobsPartition(int(request.GetPartition()))
 	record := keyedlog.Record{Key: request.GetKey(), Value: request.GetValue()}
 	o := outcome{verdict: verdict.NotRun, message: "this entry host is not in contact with the log"}
 	if p := h.ownedPartition(partition); p != nil {
--- a/internal/jobhost/partition.go
+++ b/internal/jobhost/partition.go
@@ -7,8 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/hornbeammast/hornbeammast/internal/coordination/handover"
 	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
@@ -80,18 +78,10 @@
 type takenJob struct {
 	runner *poolRunner
 	job    *job.Job
-	// sum is a checksum of its record, 0 if it can't be encoded.
+	// sum is a checksum of the record that was read, 0 if it is not known.
 	sum uint64
 }
 
-func recordSum(j *job.Job) uint64 {
-	data, err := j.Marshal()
-	if err != nil {
-		return 0
-	}
-	return xxhash.Sum64(data)
-}
-
 // startPartition begins a tenure with its fencing token.
 func startPartition(host *JobHost, id keyedlog.Partition, token int64) *partition {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -193,10 +183,10 @@
 		_, cancelled := p.cancelled[id]
 		decision, _ := p.intakes.Decide(state.QueueAddress, state.ConfigVersion)
 		if !taken && !cancelled && decision != handover.Take {
-			p.hold(id, state)
+			p.hold(id, state, 0)
 			continue
 		}
-		p.take(state)
+		p.add(state, 0)
 	}
 	p.host.events.Event("partition-loaded", "topic", p.id.Topic, "partition", p.id.Number, "token", p.token, "jobs", len(p.loading))
 	clear(p.loading)
@@ -241,147 +231,6 @@
 	}
 }
 
-// apply applies records of the partition. Cancels that precede their job are kept until
-// the job is read.
-func (p *partition) apply(records []keyedlog.Record) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, record := range records {
-		if len(record.Value) > 0 {
-			p.applyRecord(record)
-		}
-	}
-}
-
-func (p *partition) applyRecord(record keyedlog.Record) {
-	prefix, id, part := parseKey(record.Key)
-	switch prefix {
-	case keyJob:
-		p.applyJob(id, record)
-	case keyProgress:
-		// After loading, only this tenure writes progress.
-		if !p.loaded.Load() {
-			if p.progress[id] == nil {
-				p.progress[id] = map[int][]byte{}
-			}
-			p.progress[id][part] = record.Value
-		}
-	case keyCancel:
-		p.applyCancel(id)
-	case keyIntake:
-		p.applyIntake(record)
-	default:
-		p.host.events.Event("record-unreadable", "topic", p.id.Topic, "partition", p.id.Number, "key", record.Key, "offset", record.Offset)
-	}
-}
-
-// applyCancel cancels a job. The lock is held.
-func (p *partition) applyCancel(id job.ID) {
-	if t, ok := p.taken[id]; ok {
-		t.runner.pool.CancelJob(id, p.host.now())
-		t.runner.signal()
-		return
-	}
-	if f, ok := p.forwarded[id]; ok {
-		p.cancelForwarded(id, f.partition)
-		return
-	}
-	p.cancelled[id] = struct{}{}
-}
-
-// applyJob adds a job and ignores one that is already known. The lock is held.
-func (p *partition) applyJob(id job.ID, record keyedlog.Record) {
-	t, taken := p.taken[id]
-	if p.waits(id) || (taken && t.sum == xxhash.Sum64(record.Value)) {
-		return
-	}
-	submitted, err := job.Unmarshal(record.Value)
-	if err != nil {
-		p.host.events.Event("record-unreadable", "topic", p.id.Topic, "partition", p.id.Number, "key", record.Key,
-			"offset", record.Offset, "error", err)
-		return
-	}
-	if taken {
-		p.restoreJob(t, submitted)
-		return
-	}
-	state := jobs.New(submitted)
-	if !p.loaded.Load() {
-		// The job's progress and cancel may be among the records still to be read.
-		p.loading[id] = state
-		return
-	}
-	if decision, _ := p.intakes.Decide(submitted.QueueAddress, submitted.ConfigVersion); decision != handover.Take {
-		p.hold(id, state)
-		return
-	}
-	p.take(state)
-}
-
-// waits reports whether it is not known yet if the partition takes a job that it has read. The
-// lock is held.
-func (p *partition) waits(id job.ID) bool {
-	_, held := p.held[id]
-	_, loading := p.loading[id]
-	return held || loading
-}
-
-// restoreJob records the job that was taken again if the record of a repeat, which replaces it in
-// the log, differs in what runs where: a later owner knows the newest record only. The lock is held.
-func (p *partition) restoreJob(t takenJob, repeated *job.Job) {
-	if t.job.SameWork(repeated) {
-		return
-	}
-	data, err := t.job.Marshal()
-	p.host.events.Event("job-repeated", "job", t.job.ID, "partition", p.id.Number, "pool", t.job.Pool, "repeat-pool", repeated.Pool,
-		"config", t.job.ConfigVersion, "repeat-config", repeated.ConfigVersion, "error", err)
-	if err == nil {
-		p.recorder.enqueue(keyedlog.Record{Key: keyJob + string(t.job.ID), Value: data})
-	}
-}
-
-// take adds a job to its pool, in which it stays even if the configuration has its queue elsewhere
-// or the pool no longer. The lock is held.
-func (p *partition) take(state *jobs.Job) {
-	id := state.ID
-	state.SplitProgress(p.host.tasksPerPart())
-	runner := p.runner(state.Pool)
-	p.taken[id] = takenJob{runner: runner, job: state.Job, sum: recordSum(state.Job)}
-	delete(p.forwarded, id)
-	if _, ok := p.cancelled[id]; ok {
-		state.Cancel(p.host.now())
-		delete(p.cancelled, id)
-	}
-	p.host.events.Event("job-taken", "job", id, "pool", state.Pool, "queue", state.Queue, "config", state.ConfigVersion,
-		"age", p.host.now().Sub(state.AcceptedAt))
-	runner.pool.AddJob(state)
-	p.startPool(runner)
-	runner.signal()
-}
-
-// discard drops a job whose record the log refuses: its caller is told that it was not accepted.
-func (p *partition) discard(id job.ID) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if h, ok := p.held[id]; ok {
-		delete(p.held, id)
-		close(h.settled)
-	}
-	if t, ok := p.taken[id]; ok {
-		t.runner.pool.CancelJob(id, p.host.now())
-	}
-}
-
-// fail ends a job of whose progress the log refuses a record.
-func (p *partition) fail(id job.ID) {
-	p.mu.Lock()
-	t, ok := p.taken[id]
-	p.mu.Unlock()
-	if ok {
-		t.runner.pool.Refused(id, p.host.now())
-	}
-}
-
 // sweep periodically removes jobs that ended long ago from the pools and from the log.
 func (p *partition) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/jobhost/recorder.go
+++ b/internal/jobhost/recorder.go
@@ -3,17 +3,13 @@
 import (
 	"context"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
-	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/verdict"
-	"github.com/hornbeammast/hornbeammast/internal/state/jobs"
 )
 
 var errTenureOver = errors.New("the tenure has ended or is not confirmed; no order was sent")
@@ -281,16 +277,6 @@
 	}
 }
 
-func withPrefix(records []keyedlog.Record, prefix string) []keyedlog.Record {
-	var found []keyedlog.Record
-	for _, record := range records {
-		if strings.HasPrefix(record.Key, prefix) {
-			found = append(found, record)
-		}
-	}
-	return found
-}
-
 // answer reports the outcome of submitted records to the callers and peers that wait.
 func (r *recorder) answer(submitted []*submittedRecord, lost map[string]struct{}, written bool) {
 	for _, s := range submitted {
@@ -321,47 +307,3 @@
 	}
 	return err
 }
-
-// progressKey returns the key of a part of a job's progress.
-func progressKey(id job.ID, part int) string {
-	if part == 0 {
-		return keyProgress + string(id)
-	}
-	return keyProgress + string(id) + "/" + strconv.Itoa(part)
-}
-
-// parseKey returns the prefix of a record's key, with the job and the part of its progress.
-func parseKey(key string) (prefix string, id job.ID, part int) {
-	prefix, rest, ok := strings.Cut(key, "/")
-	if !ok {
-		return "", "", 0
-	}
-	name, number, divided := strings.Cut(rest, "/")
-	if divided {
-		n, err := strconv.Atoi(number)
-		if err != nil || n < 1 || prefix+"/" != keyProgress {
-			return "", "", 0
-		}
-		part = n
-	}
-	return prefix + "/", job.ID(name), part
-}
-
-func progressRecords(id job.ID, parts []jobs.Part) []keyedlog.Record {
-	records := make([]keyedlog.Record, 0, len(parts))
-	for _, part := range parts {
-		records = append(records, keyedlog.Record{Key: progressKey(id, part.Number), Value: part.Data})
-	}
-	return records
-}
-
-func dropRecords(gone []schedule.Forgotten) []keyedlog.Record {
-	records := make([]keyedlog.Record, 0, 3*len(gone))
-	for _, g := range gone {
-		records = append(records, keyedlog.Record{Key: keyJob + string(g.ID)}, keyedlog.Record{Key: keyCancel + string(g.ID)})
-		for part := range max(1, g.Parts) {
-			records = append(records, keyedlog.Record{Key: progressKey(g.ID, part)})
-		}
-	}
-	return records
-}
