--- a/internal/jobhost/loads.go
+++ b/internal/jobhost/loads.go
@@ -82,7 +82,7 @@
 	owners := h.poolOwners(ctx, config)
 	for _, address := range owners {
 		go func() {
-			reply, err := h.peers.Load(ctx, address)
+			reply, err := h.peers.Load(ctx, address, &wire.LoadRequest{})
 			if err != nil {
 				h.directory.invalidate()
 				h.events.Event("peer-silent", "peer", address, "call", "load", "error", err)
--- a/internal/jobhost/peer_handler.go
+++ b/internal/jobhost/peer_handler.go
@@ -137,6 +137,11 @@
 	return &wire.RestrictReply{Done: h.host.restrictOwned(request.GetPool(), hosts, schedule.Use(request.GetUse()))}, nil
 }
 
+// Allot sets the parts of the organisations' quotas that a pool may use.
+func (h peerHandler) Allot(context.Context, *wire.AllotRequest) (*wire.AllotReply, error) {
+	return &wire.AllotReply{}, nil
+}
+
 // Gone marks a worker as ended.
 func (h peerHandler) Gone(_ context.Context, request *wire.GoneRequest) (*wire.GoneReply, error) {
 	return &wire.GoneReply{Owner: h.host.markGoneOwned(request.GetPool(), worker.ID(request.GetHost()), time.UnixMilli(request.GetKnownMs()))}, nil
--- a/internal/protocol/job/job.go
+++ b/internal/protocol/job/job.go
@@ -91,6 +91,8 @@
 	FirstAt             time.Time
 	Interval            time.Duration
 	NeedsPlacementCheck bool
+	// Organisation is the name of the organisation that submitted the job, or empty.
+	Organisation string
 }
 
 // SameWork reports whether two submissions ask for the same work in the same pool.
--- a/internal/protocol/job/record.go
+++ b/internal/protocol/job/record.go
@@ -16,7 +16,7 @@
 		Id: string(j.ID), Queue: j.Queue, QueueAddress: j.QueueAddress, ConfigVersion: j.ConfigVersion, Pool: j.Pool, Spec: j.Spec,
 		AcceptedMs: j.AcceptedAt.UnixMilli(), Priority: int32(j.Priority), MaxAttempts: int32(j.MaxAttempts), //nolint:gosec // Validated.
 		Stretch: j.Stretch, LatencyTargetMs: j.LatencyTarget.Milliseconds(),
-		Occurrences: int32(j.Occurrences), IntervalMs: j.Interval.Milliseconds(), NeedsAdvice: j.NeedsPlacementCheck, //nolint:gosec // Validated.
+		Occurrences: int32(j.Occurrences), IntervalMs: j.Interval.Milliseconds(), NeedsAdvice: j.NeedsPlacementCheck, Organisation: j.Organisation, //nolint:gosec // Validated.
 	}
 	if j.Occurrences > 0 {
 		m.FirstMs = j.FirstAt.UnixMilli()
@@ -55,7 +55,7 @@
 		AcceptedAt: time.UnixMilli(m.GetAcceptedMs()), Priority: int(m.GetPriority()), MaxAttempts: int(m.GetMaxAttempts()),
 		Stretch: m.GetStretch(), LatencyTarget: time.Duration(m.GetLatencyTargetMs()) * time.Millisecond,
 		Occurrences: int(m.GetOccurrences()), Interval: time.Duration(m.GetIntervalMs()) * time.Millisecond,
-		NeedsPlacementCheck: m.GetNeedsAdvice(),
+		NeedsPlacementCheck: m.GetNeedsAdvice(), Organisation: m.GetOrganisation(),
 	}
 	if j.Occurrences > 0 {
 		j.FirstAt = time.UnixMilli(m.GetFirstMs())
--- a/internal/protocol/queue/configuration.go
+++ b/internal/protocol/queue/configuration.go
@@ -14,6 +14,9 @@
 	Queues  []Queue
 	Pools   []Pool
 	Limits  Limits
+	// RequiresKeys is set if callers need a key of an organisation, except for public queues.
+	RequiresKeys  bool
+	Organisations []Organisation
 }
 
 // Queue accepts jobs from callers under a host and a path prefix.
@@ -33,6 +36,8 @@
 	// NeedsPlacementCheck means that only some hosts may run a step, and that the
 	// placement check decides which.
 	NeedsPlacementCheck bool
+	// Public means that callers need no key.
+	Public bool
 }
 
 // Address identifies the queue to callers across configurations, in which its name and its pool
--- a/internal/transport/peer/job_client.go
+++ b/internal/transport/peer/job_client.go
@@ -76,8 +76,13 @@
 }
 
 // Load asks for the load of the pools that an entry host owns.
-func (c *JobClient) Load(ctx context.Context, address netip.AddrPort) (*wire.LoadReply, error) {
-	return callJob(ctx, c, address, wire.DRPCJobPeerClient.Load, &wire.LoadRequest{})
+func (c *JobClient) Load(ctx context.Context, address netip.AddrPort, request *wire.LoadRequest) (*wire.LoadReply, error) {
+	return callJob(ctx, c, address, wire.DRPCJobPeerClient.Load, request)
+}
+
+// Allot sets, at the owner of a pool, the parts of the organisations' quotas that it may use.
+func (c *JobClient) Allot(ctx context.Context, address netip.AddrPort, request *wire.AllotRequest) (*wire.AllotReply, error) {
+	return callJob(ctx, c, address, wire.DRPCJobPeerClient.Allot, request)
 }
 
 // Restrict sets, at the owner of a pool, what its hosts may be used for.
