--- a/internal/protocol/verdict/cause.go
+++ b/internal/protocol/verdict/cause.go
@@ -6,6 +6,7 @@
 const (
 	CauseBadRequest     Cause = "bad-request"
 	CauseTooLarge       Cause = "too-large"
+	CauseUnauthorised   Cause = "unauthorised"
 	CauseUnknownKind    Cause = "unknown-kind"
 	CauseNeverFits      Cause = "never-fits"
 	CauseOverloaded     Cause = "overloaded"
@@ -32,6 +33,7 @@
 var statuses = map[Cause]int{
 	CauseBadRequest:     http.StatusBadRequest,
 	CauseTooLarge:       http.StatusRequestEntityTooLarge,
+	CauseUnauthorised:   http.StatusUnauthorized,
 	CauseUnknownKind:    http.StatusNotFound,
 	CauseNeverFits:      http.StatusUnprocessableEntity,
 	CauseOverloaded:     http.StatusServiceUnavailable,
