Configurations name organisations and public queues; a version and its keys come into force together

Cause: operators publish tenants with keys, weights and maxima, and public routes, which were ignored. What can't be used is left out or replaced, and logged once for each version (config-problem), without values that may be keys. Entry hosts keep the record with digests in place of keys, and send that to their peers. JobHost.Access returns the directory of the keys together with its configuration.

--- a/internal/emulator/site/published.go
+++ b/internal/emulator/site/published.go
@@ -38,6 +38,9 @@
 	return c, json.Unmarshal(r.Value, c)
 }
 
+// WithoutKeys returns the record unchanged: the emulated configurations hold digests.
+func (recordCodec) WithoutKeys(r keyedlog.Record, _ *queue.Configuration) keyedlog.Record { return r }
+
 func (recordCodec) Wave(r keyedlog.Record) (*machine.Wave, error) {
 	if !strings.HasPrefix(r.Key, keyWave) {
 		return nil, nil //nolint:nilnil // Nothing of this kind is no error.
--- a/internal/jobhost/job_host.go
+++ b/internal/jobhost/job_host.go
@@ -15,7 +15,6 @@
 	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/machine"
-	"github.com/hornbeammast/hornbeammast/internal/protocol/queue"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 	"github.com/hornbeammast/hornbeammast/internal/transport/peer"
@@ -186,11 +185,6 @@
 // Intake returns the intake, which serves callers' requests about jobs.
 func (h *JobHost) Intake() *intake.Intake { return h.intake }
 
-// Configuration returns the configuration in force, or nil if there is none yet.
-func (h *JobHost) Configuration() *queue.Configuration { return h.config() }
-
-func (h *JobHost) config() *queue.Configuration { return h.operators.config.Load() }
-
 func (h *JobHost) limits() schedule.Limits { return h.settings.Limits }
 
 // mayAct reports whether the log confirmed the membership within MaxUnconfirmed, so that
--- a/internal/jobhost/ports.go
+++ b/internal/jobhost/ports.go
@@ -59,6 +59,8 @@
 	// Configuration decodes a record of OperatorPartition; nil if it is not a
 	// configuration.
 	Configuration(record keyedlog.Record) (*queue.Configuration, error)
+	// WithoutKeys returns a configuration's record with the digests of keys in place of the keys.
+	WithoutKeys(record keyedlog.Record, c *queue.Configuration) keyedlog.Record
 	// Wave decodes a record of OperatorPartition; nil if it is not a wave.
 	Wave(record keyedlog.Record) (*machine.Wave, error)
 	// Report decodes a record of WorkerPartition.
--- a/internal/jobhost/views.go
+++ b/internal/jobhost/views.go
@@ -5,6 +5,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/hornbeammast/hornbeammast/internal/coordination/access"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/machine"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/queue"
@@ -18,10 +19,11 @@
 	events   Events
 	onChange func()
 
-	config atomic.Pointer[queue.Configuration]
-	mu     sync.Mutex
-	waves  map[int64]machine.Wave
-	// record is the published record of the configuration in force.
+	// inForce holds the configuration in force with its keys, which are replaced together.
+	inForce atomic.Pointer[access.Directory]
+	mu      sync.Mutex
+	waves   map[int64]machine.Wave
+	// record is the published record of the configuration in force, without keys.
 	record keyedlog.Record
 	// pools holds, by the address of a queue, the pools that configurations have sent it to.
 	pools map[string]map[string]struct{}
@@ -67,21 +69,62 @@
 // adopt puts a configuration in force if its version is newer than the current one.
 func (v *operatorsView) adopt(config *queue.Configuration, record keyedlog.Record) {
 	v.mu.Lock()
-	before := v.config.Load()
+	before := v.config()
 	if before != nil && config.Version <= before.Version {
 		v.mu.Unlock()
 		return
 	}
-	v.config.Store(config)
+	v.inForce.Store(access.New(config))
 	v.record = record
+	if config.RequiresKeys {
+		v.record = v.codec.WithoutKeys(record, config)
+	}
 	for n := range config.Queues {
 		v.notePool(&config.Queues[n])
 	}
 	v.mu.Unlock()
 	v.events.Event("config-in-force", "version", config.Version, "queues", len(config.Queues), "pools", len(config.Pools), "offset", record.Offset)
+	if config.RequiresKeys {
+		v.events.Event("keys-in-force", "version", config.Version, "organisations", len(config.Organisations))
+	}
+	for _, problem := range config.Problems {
+		v.events.Event("config-problem", "version", config.Version, "problem", problem)
+	}
 	v.onChange()
 }
 
+// config returns the configuration in force, or nil.
+func (v *operatorsView) config() *queue.Configuration {
+	if directory := v.inForce.Load(); directory != nil {
+		return directory.Configuration()
+	}
+	return nil
+}
+
+// Access returns the directory of the keys of the configuration in force, and that configuration; nil
+// if there is none yet.
+func (h *JobHost) Access() *access.Directory { return h.operators.inForce.Load() }
+
+// Configuration returns the configuration in force, or nil if there is none yet.
+func (h *JobHost) Configuration() *queue.Configuration { return h.config() }
+
+func (h *JobHost) config() *queue.Configuration { return h.operators.config() }
+
+// visibleTo returns the only organisation that may see the jobs of an organisation in a queue; empty if
+// all may, since there is none or the queue is public.
+func (h *JobHost) visibleTo(organisation, queueAddress string) string {
+	c := h.config()
+	if organisation == "" || c == nil {
+		return organisation
+	}
+	for n := range c.Queues {
+		if q := &c.Queues[n]; q.Public && q.Address() == queueAddress {
+			return ""
+		}
+	}
+	return organisation
+}
+
 // notePool notes the pool of a queue. The lock is held.
 func (v *operatorsView) notePool(q *queue.Queue) {
 	address := q.Address()
@@ -103,7 +146,7 @@
 func (v *operatorsView) recordAbove(version int64) keyedlog.Record {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if config := v.config.Load(); config == nil || config.Version <= version {
+	if config := v.config(); config == nil || config.Version <= version {
 		return keyedlog.Record{}
 	}
 	return v.record
--- a/internal/jobhost/views_test.go
+++ b/internal/jobhost/views_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/queue"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
 
@@ -28,6 +29,45 @@
 
 func (c countEvents) Event(name string, _ ...any) { c[name]++ }
 
+// Configuration reads a configuration that is plain JSON.
+func (jsonCodec) Configuration(record keyedlog.Record) (*queue.Configuration, error) {
+	c := &queue.Configuration{}
+	return c, json.Unmarshal(record.Value, c)
+}
+
+func (jsonCodec) WithoutKeys(record keyedlog.Record, _ *queue.Configuration) keyedlog.Record {
+	record.Value = []byte("without keys")
+	return record
+}
+
+// TestVersionsAndTheirKeys guards against problems that are logged again for one version, against keys
+// of another version than the configuration, and against a record with keys that is kept.
+func TestVersionsAndTheirKeys(t *testing.T) {
+	events := countEvents{}
+	v := &operatorsView{codec: jsonCodec{}, events: events, onChange: func() {}, pools: map[string]map[string]struct{}{}}
+	for _, version := range []int64{1, 1, 3, 2, 3} {
+		key := fmt.Sprint("k-", version)
+		c := queue.Configuration{Version: version, RequiresKeys: true, Problems: []string{"one", "two"}}
+		c.Organisations = []queue.Organisation{{Name: "one", Keys: []queue.KeyDigest{queue.DigestKey(key)}}}
+		value, err := json.Marshal(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		v.apply([]keyedlog.Record{{Key: "config", Value: value}})
+		_, err = v.inForce.Load().Caller([]string{"Token " + key}, false)
+		if newest := v.config().Version; (err == nil) != (newest == version) {
+			t.Errorf("key of version %d while %d is in force: %v", version, newest, err)
+		}
+	}
+	want := countEvents{"config-in-force": 2, "keys-in-force": 2, "config-problem": 4}
+	if diff := cmp.Diff(want, events); diff != "" {
+		t.Errorf("events (-want +got):\n%s", diff)
+	}
+	if kept := v.recordAbove(2); string(kept.Value) != "without keys" {
+		t.Errorf("the record for peers is %s", kept.Value)
+	}
+}
+
 func newTestView() (*hostsView, countEvents) {
 	events := countEvents{}
 	return &hostsView{
--- a/internal/protocol/queue/configuration.go
+++ b/internal/protocol/queue/configuration.go
@@ -17,6 +17,8 @@
 	// RequiresKeys is set if callers need a key of an organisation, except for public queues.
 	RequiresKeys  bool
 	Organisations []Organisation
+	// Problems says what of the published configuration is not used, and what to do about it.
+	Problems []string
 }
 
 // Queue accepts jobs from callers under a host and a path prefix.
