Callers are identified by keys; a job belongs to its first organisation

Cause: whoever reached an entry host could submit to every queue, and read or cancel any job. Change: both callers' interfaces check the key once the queue is found, before the body is read or decoded (401, WWW-Authenticate: Token). A job keeps the organisation of its submission. Its owner returns it with the state, empty if the job's queue is public; other organisations get 410. While callers may see some jobs only, a cancel waits for the owner, and is refused without it, since a cancel record names no organisation. An owner refuses a submission by another organisation (409, not run), and records the first again if one reaches the log past it, now also for jobs that are held or being loaded. The emulator has callers with keys, and its ledger checks unknown and withdrawn keys, and published keys that are refused.

--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -31,11 +31,34 @@
 type OwnerClient interface {
 	// Partitions returns all partitions, that of a pool first.
 	Partitions(pool string) []int
-	State(ctx context.Context, partition int, id job.ID) (state job.State, known, ok bool)
+	State(ctx context.Context, partition int, id job.ID) (status Status, known, ok bool)
 	// Waiting takes the pool and the address of a queue.
 	Waiting(ctx context.Context, pool, queue string) (waiting int, ok bool)
 }
 
+// Status is what callers may see of a job.
+type Status struct {
+	State job.State
+	// Organisation is the only one that may see the job; empty if all may.
+	Organisation string
+}
+
+// Caller is who calls, by which configuration, and about which queue.
+type Caller struct {
+	Configuration *queue.Configuration
+	Queue         *queue.Queue
+	// Organisation is that of the caller's key, or empty.
+	Organisation string
+}
+
+// restricted reports whether the caller may see some jobs only.
+func (c *Caller) restricted() bool { return c.Configuration.RequiresKeys }
+
+// sees reports whether the caller may see a job.
+func (c *Caller) sees(s Status) bool {
+	return !c.restricted() || s.Organisation == "" || s.Organisation == c.Organisation
+}
+
 // Events logs one structured line per request.
 type Events interface {
 	Event(name string, pairs ...any)
@@ -54,9 +77,11 @@
 	return &Intake{recorder: recorder, owners: owners, events: events, now: now}
 }
 
-// Submit copies the queue's settings into the job and returns nil once the job's record is
+// Submit copies the queue's settings and the organisation into the job and returns nil once the job's record is
 // in the log. If the verdict of an error is NotRun, the job is refused; otherwise it may run.
-func (i *Intake) Submit(ctx context.Context, version int64, q *queue.Queue, j *job.Job) error {
+func (i *Intake) Submit(ctx context.Context, caller Caller, j *job.Job) error {
+	q, version := caller.Queue, caller.Configuration.Version
+	j.Organisation = caller.Organisation
 	j.Queue, j.Pool, j.Priority, j.MaxAttempts = q.Name, q.Pool, q.Priority, max(1, q.MaxAttempts)
 	j.Stretch, j.LatencyTarget, j.NeedsPlacementCheck = q.Stretch, q.LatencyTarget, q.NeedsPlacementCheck
 	j.QueueAddress, j.ConfigVersion, j.AcceptedAt = q.Address(), version, i.now()
@@ -66,64 +91,96 @@
 		return verdict.NotRunError(verdict.CauseBadRequest, err.Error())
 	}
 	err := i.recorder.Submit(ctx, j)
-	i.events.Event("job-submitted", "job", j.ID, "queue", q.Name, "pool", q.Pool, "config", version, "steps", len(j.Steps),
-		"took", i.now().Sub(j.AcceptedAt), "error", err)
+	pairs := []any{
+		"job", j.ID, "queue", q.Name, "pool", q.Pool, "config", version, "steps", len(j.Steps), "took", i.now().Sub(j.AcceptedAt), "error", err,
+	}
+	if j.Organisation != "" {
+		pairs = append(pairs, "organisation", j.Organisation)
+	}
+	i.events.Event("job-submitted", pairs...)
 	return err
 }
 
-// State returns a job's state, and whether the job is known. A job is unknown only if the
+// State returns a job's state, and whether the caller may know of it. A job is unknown only if the
 // owners of all partitions say so, since the queue may have been moved to another pool.
-func (i *Intake) State(ctx context.Context, c *queue.Configuration, q *queue.Queue, id job.ID) (job.State, bool, error) {
+func (i *Intake) State(ctx context.Context, caller Caller, id job.ID) (job.State, bool, error) {
+	q, version := caller.Queue, caller.Configuration.Version
+	found, ok := i.searchUntilAnswered(ctx, &caller, id)
+	if !ok {
+		i.events.Event("state-unknown", "job", id, "queue", q.Name, "config", version, "pool", q.Pool)
+		return "", false, ownerUnavailable(q)
+	}
+	i.events.Event("state-asked", "job", id, "queue", q.Name, "config", version, "state", found.state, "known", found.known, "hidden", found.hidden)
+	return found.state, found.known, nil
+}
+
+// searchUntilAnswered searches for a job until the owners have answered; ok is false if ctx ends first.
+func (i *Intake) searchUntilAnswered(ctx context.Context, caller *Caller, id job.ID) (jobLookup, bool) {
 	for {
-		found, ok := i.search(ctx, q, id)
+		found, ok := i.search(ctx, caller, id)
 		if found.known || ok {
-			i.events.Event("state-asked", "job", id, "queue", q.Name, "config", c.Version, "state", found.state, "known", found.known)
-			return found.state, found.known, nil
+			return found, true
 		}
 		if pause.For(ctx, ownerRetryPause) != nil {
-			i.events.Event("state-unknown", "job", id, "queue", q.Name, "config", c.Version, "pool", q.Pool)
-			return "", false, verdict.NotRunError(verdict.CauseNotServing, fmt.Sprintf("the owner of pool %s does not answer; try again", q.Pool))
+			return jobLookup{}, false
 		}
 	}
 }
 
+func ownerUnavailable(q *queue.Queue) error {
+	return verdict.NotRunError(verdict.CauseNotServing, fmt.Sprintf("the owner of pool %s does not answer; try again", q.Pool))
+}
+
 // jobLookup is the result of a search for a job: its state and the partition that has it.
 type jobLookup struct {
 	partition int
 	state     job.State
 	known     bool
+	// hidden is set if there is such a job that the caller must not see.
+	hidden bool
 }
 
-// search queries the owner of the queue's partition first, then those of the others; ok is
-// true if all queried owners have answered.
-func (i *Intake) search(ctx context.Context, q *queue.Queue, id job.ID) (jobLookup, bool) {
-	all := true
-	for n, partition := range i.owners.Partitions(q.Pool) {
-		state, known, ok := i.owners.State(ctx, partition, id)
+// search queries the owner of the queue's partition first, then those of the others, for a job that
+// the caller may see; ok is true if all queried owners have answered.
+func (i *Intake) search(ctx context.Context, caller *Caller, id job.ID) (jobLookup, bool) {
+	all, hidden := true, false
+	for n, partition := range i.owners.Partitions(caller.Queue.Pool) {
+		status, known, ok := i.owners.State(ctx, partition, id)
 		switch {
+		case known && caller.sees(status):
+			return jobLookup{partition: partition, state: status.State, known: true}, true
 		case known:
-			return jobLookup{partition, state, true}, true
+			hidden = true
 		case !ok && n == 0:
 			return jobLookup{}, false
 		}
 		all = all && ok
 	}
-	return jobLookup{}, all
+	return jobLookup{hidden: hidden}, all
 }
 
 // Cancel records the cancel of a job unless the job has ended; it returns false if there is
-// no such job.
-func (i *Intake) Cancel(ctx context.Context, c *queue.Configuration, q *queue.Queue, id job.ID) (bool, error) {
-	found, ok := i.search(ctx, q, id)
+// no such job that the caller may see. If the owner does not answer, the cancel is recorded for
+// whichever job has the ID, except where callers may see some jobs only: then it is refused.
+func (i *Intake) Cancel(ctx context.Context, caller Caller, id job.ID) (bool, error) {
+	q, version := caller.Queue, caller.Configuration.Version
+	search := i.search
+	if caller.restricted() {
+		search = i.searchUntilAnswered
+	}
+	found, ok := search(ctx, &caller, id)
 	if ok && !found.known {
-		i.events.Event("cancel-unknown", "job", id, "queue", q.Name, "config", c.Version)
+		i.events.Event("cancel-unknown", "job", id, "queue", q.Name, "config", version, "hidden", found.hidden)
 		return false, nil
 	}
+	if !ok && caller.restricted() {
+		return false, ownerUnavailable(q)
+	}
 	if found.state.Ended() {
 		return true, nil
 	}
 	err := i.cancelIn(ctx, q, found, id)
-	i.events.Event("cancel-asked", "job", id, "queue", q.Name, "config", c.Version, "state", found.state, "known", found.known, "error", err)
+	i.events.Event("cancel-asked", "job", id, "queue", q.Name, "config", version, "state", found.state, "known", found.known, "error", err)
 	return true, err
 }
 
@@ -147,7 +204,7 @@
 			return waiting, nil
 		}
 		if pause.For(ctx, ownerRetryPause) != nil {
-			return 0, verdict.NotRunError(verdict.CauseNotServing, fmt.Sprintf("the owner of pool %s does not answer; try again", q.Pool))
+			return 0, ownerUnavailable(q)
 		}
 	}
 }
--- /dev/null
+++ b/internal/coordination/intake/intake_test.go
@@ -0,0 +1,125 @@
+package intake
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/queue"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/verdict"
+)
+
+// fakeOwners has jobs by partition. The owner of partition 0 does not answer before silentUntil.
+type fakeOwners struct {
+	jobs      map[int]map[job.ID]Status
+	cancelled []string
+	submitted []*job.Job
+
+	silentUntil time.Time
+}
+
+func (f *fakeOwners) Event(string, ...any) {}
+
+func (f *fakeOwners) Submit(_ context.Context, j *job.Job) error {
+	f.submitted = append(f.submitted, j)
+	return nil
+}
+
+func (f *fakeOwners) Cancel(_ context.Context, partition int, id job.ID) error {
+	f.cancelled = append(f.cancelled, fmt.Sprint(partition, " ", id))
+	return nil
+}
+
+func (f *fakeOwners) Partitions(string) []int { return []int{1, 0} }
+
+func (f *fakeOwners) State(_ context.Context, partition int, id job.ID) (Status, bool, bool) {
+	status, known := f.jobs[partition][id]
+	answers := partition != 0 || !time.Now().Before(f.silentUntil)
+	return status, known && answers, answers
+}
+
+func (f *fakeOwners) Waiting(context.Context, string, string) (int, bool) { return 0, true }
+
+const (
+	ofOne  job.ID = "00000000000000a1"
+	ofNone job.ID = "00000000000000a0"
+	ofBoth job.ID = "00000000000000a2"
+)
+
+func newFake() *fakeOwners {
+	one, two := Status{job.Running, "one"}, Status{job.Done, "two"}
+	return &fakeOwners{jobs: map[int]map[job.ID]Status{
+		1: {ofNone: {State: job.Running}, ofBoth: one}, 0: {ofOne: one, ofBoth: two},
+	}}
+}
+
+func callerOf(organisation string, requiresKeys bool) Caller {
+	return Caller{&queue.Configuration{RequiresKeys: requiresKeys}, &queue.Queue{Name: "q", Pool: "maps"}, organisation}
+}
+
+// TestOtherOrganisationsSeeNoJob guards against a state or a cancel of a job of another organisation, and
+// against a job that its own organisation no longer reaches.
+func TestOtherOrganisationsSeeNoJob(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		caller        Caller
+		id            job.ID
+		want          job.State
+		cancelledFrom []string
+	}{
+		{"own job", callerOf("one", true), ofOne, job.Running, []string{"0 " + string(ofOne)}},
+		{"another's job", callerOf("two", true), ofOne, "", nil},
+		{"no key, public queue", callerOf("", true), ofOne, "", nil},
+		{"keys no longer required", callerOf("", false), ofOne, job.Running, []string{"0 " + string(ofOne)}},
+		{"job of none", callerOf("two", true), ofNone, job.Running, []string{"1 " + string(ofNone)}},
+		{"one ID in two partitions", callerOf("two", true), ofBoth, job.Done, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFake()
+			i := New(f, f, f, time.Now)
+			state, known, err := i.State(t.Context(), c.caller, c.id)
+			if state != c.want || known != (c.want != "") || err != nil {
+				t.Errorf("state %q, known %v, %v; want %q", state, known, err, c.want)
+			}
+			cancelled, err := i.Cancel(t.Context(), c.caller, c.id)
+			if cancelled != (c.want != "") || err != nil {
+				t.Errorf("cancelled %v, %v", cancelled, err)
+			}
+			if diff := cmp.Diff(c.cancelledFrom, f.cancelled); diff != "" {
+				t.Errorf("recorded cancels (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestCancelWithoutOwner guards against a cancel that is recorded for a job of another organisation while
+// nobody can tell whose it is.
+func TestCancelWithoutOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		f.silentUntil = time.Now().Add(1300 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := New(f, f, f, time.Now).Cancel(ctx, callerOf("two", true), ofOne)
+		if err == nil || verdict.FromError(err).Verdict != verdict.NotRun || len(f.cancelled) > 0 {
+			t.Errorf("error %v, recorded %v; want not-run and nothing recorded", err, f.cancelled)
+		}
+		if known, err := New(f, f, f, time.Now).Cancel(t.Context(), callerOf("one", true), ofOne); !known || err != nil || len(f.cancelled) != 1 {
+			t.Errorf("known %v, %v, recorded %v; want the cancel once the owner answers", known, err, f.cancelled)
+		}
+	})
+}
+
+// TestSubmitKeepsTheOrganisation guards against a job that is accounted to nobody.
+func TestSubmitKeepsTheOrganisation(t *testing.T) {
+	f := newFake()
+	j := &job.Job{ID: ofOne, Steps: []job.Step{{Tasks: 1}}}
+	if err := New(f, f, f, time.Now).Submit(t.Context(), callerOf("one", true), j); err != nil || f.submitted[0].Organisation != "one" {
+		t.Errorf("%v, job %+v", err, j)
+	}
+}
--- a/internal/emulator/site/callers.go
+++ b/internal/emulator/site/callers.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/hornbeammast/hornbeammast/internal/coordination/intake"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/queue"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/verdict"
@@ -78,7 +79,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 		sent := *j
 		sent.Steps = slices.Clone(j.Steps)
-		err := h.Intake().Submit(ctx, c.Version, q, &sent)
+		err := h.Intake().Submit(ctx, intake.Caller{Configuration: c, Queue: q}, &sent)
 		cancel()
 		if err == nil {
 			s.ledger.accepted(j.ID)
@@ -108,7 +109,7 @@
 	defer cancel()
 	again := *j
 	again.Steps = slices.Clone(j.Steps)
-	if err := h.Intake().Submit(ctx, c.Version, q, &again); err != nil {
+	if err := h.Intake().Submit(ctx, intake.Caller{Configuration: c, Queue: q}, &again); err != nil {
 		return false
 	}
 	s.ledger.accepted(j.ID)
@@ -142,7 +143,8 @@
 	for range callerAttempts {
 		if h := s.randomReadyHost(); h != nil {
 			ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
-			known, err := h.Intake().Cancel(ctx, h.Configuration(), queueNamed(h.Configuration(), queueName), id)
+			c := h.Configuration()
+			known, err := h.Intake().Cancel(ctx, s.callerOfJob(c, queueName, id), id)
 			cancel()
 			if err == nil {
 				if known {
@@ -165,7 +167,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
 	c := h.Configuration()
-	state, known, err := h.Intake().State(ctx, c, queueNamed(c, queueName), id)
+	state, known, err := h.Intake().State(ctx, s.callerOfJob(c, queueName, id), id)
 	if err != nil {
 		return ""
 	}
@@ -173,5 +175,10 @@
 	return state
 }
 
+// callerOfJob returns the caller that submitted a job.
+func (s *Site) callerOfJob(c *queue.Configuration, queueName string, id job.ID) intake.Caller {
+	return intake.Caller{Configuration: c, Queue: queueNamed(c, queueName), Organisation: s.ledger.organisationOf(id)}
+}
+
 // JobID returns the job ID with a number.
 func JobID(n int) job.ID { return job.ID(fmt.Sprintf("%016x", n)) }
--- /dev/null
+++ b/internal/emulator/site/keys_test.go
@@ -0,0 +1,185 @@
+package site
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/hornbeammast/hornbeammast/internal/jobhost"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/queue"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/verdict"
+)
+
+// keyedVersion returns a version of the configuration with the keys of organisations.
+func keyedVersion(version int64, keys map[string][]string) *queue.Configuration {
+	c := *configuration
+	c.Version, c.RequiresKeys = version, true
+	for _, name := range slices.Sorted(maps.Keys(keys)) {
+		o := queue.Organisation{Name: name, Weight: 1}
+		for _, key := range keys[name] {
+			o.Keys = append(o.Keys, queue.DigestKey(key))
+		}
+		c.Organisations = append(c.Organisations, o)
+	}
+	return &c
+}
+
+var twoOrganisations = map[string][]string{"one": {"k-1"}, "two": {"k-2"}}
+
+// expectOwnJob checks that a job is shown to its organisation only, by all entry hosts, and that
+// another one can neither submit nor cancel it.
+func (f *fixture) expectOwnJob(j *job.Job, when string) {
+	f.t.Helper()
+	other := *j
+	other.Spec = "spec of two"
+	refusal := verdict.Error{Verdict: verdict.NotRun, Cause: verdict.CauseDuplicate, Message: "the job ID is in use by another organisation"}
+	for _, h := range f.site.runningHosts() {
+		if err := f.site.SubmitWithKey(h, "k-2", "tiles", &other); err == nil || *verdict.FromError(err) != refusal {
+			f.t.Errorf("%s: %s answers the second submission: %v; want not-run, duplicate", when, h.Name, err)
+		}
+		if known, err := f.site.CancelWithKey(h, "k-2", "tiles", j.ID); known || err != nil {
+			f.t.Errorf("%s: %s cancels the job for another organisation: %v, %v", when, h.Name, known, err)
+		}
+		for key, want := range map[string]bool{"k-1": true, "k-2": false} {
+			if state, known, err := f.site.StateWithKey(h, key, "tiles", j.ID); known != want || err != nil {
+				f.t.Errorf("%s: %s shows %q, known %v, %v to %s; want known %v", when, h.Name, state, known, err, key, want)
+			}
+		}
+		if err := f.site.SubmitWithKey(h, "k-1", "tiles", j); err != nil {
+			f.t.Errorf("%s: %s refuses the repeated submission: %v", when, h.Name, err)
+		}
+	}
+}
+
+// TestFirstOrganisationKeepsItsJob guards against a job that another organisation takes over by its ID,
+// also by a record that reaches the log past the owner, and after a change of owners.
+func TestFirstOrganisationKeepsItsJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixtureOf(t, layout, keyedVersion(1, twoOrganisations), 1, events(t))
+		j := &job.Job{ID: JobID(1), Spec: "spec of one", Steps: []job.Step{newStep(2, 1000, 20*time.Second)}}
+		f.queue[j.ID] = "tiles"
+		if err := f.site.SubmitWithKey(f.hosts[0], "k-1", "tiles", j); err != nil {
+			t.Fatal(err)
+		}
+		f.expectOwnJob(j, "at first")
+		f.replaceOwner("maps")
+		time.Sleep(4 * time.Second)
+		f.expectOwnJob(j, "after a change of owners")
+		other := *j
+		other.Organisation, other.Queue, other.QueueAddress, other.Pool = "two", "tiles", "tiles", "maps"
+		other.ConfigVersion, other.MaxAttempts, other.AcceptedAt = 1, 3, time.Now()
+		data, err := other.Marshal()
+		if err != nil {
+			t.Fatal(err)
+		}
+		number := int(xxhash.Sum64String("maps") % partitions)
+		f.site.store.put(keyedlog.Partition{Topic: jobhost.TopicJobs, Number: number}, keyedlog.Record{Key: "job/" + string(j.ID), Value: data})
+		time.Sleep(2 * time.Second)
+		f.replaceOwner("maps")
+		time.Sleep(4 * time.Second)
+		f.expectOwnJob(j, "after a record of another organisation and a change of owners")
+		f.finish()
+	})
+}
+
+// TestKeysRotate checks random days on which keys are added and withdrawn while the log refuses some
+// entry hosts, which learn of it from their peers.
+func TestKeysRotate(t *testing.T) {
+	for n := range *seeds {
+		seed := *firstSeed + uint64(n)
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { synctest.Test(t, func(t *testing.T) { runKeyDay(t, seed) }) })
+	}
+}
+
+func runKeyDay(t *testing.T, seed uint64) {
+	f := newFixtureOf(t, layout, keyedVersion(1, twoOrganisations), seed, events(t))
+	s := f.site
+	end := time.Now().Add(30 * time.Second)
+	var keys []string
+	f.wait.Go(func() {
+		for version := int64(2); time.Now().Before(end); version++ {
+			organisations := map[string][]string{}
+			for _, organisation := range []string{"one", "two"} {
+				for k := range 4 {
+					if s.chance(0.5) {
+						organisations[organisation] = append(organisations[organisation], fmt.Sprintf("k-%s-%d", organisation, k))
+					}
+				}
+			}
+			if err := s.Configure(keyedVersion(version, organisations)); err != nil {
+				t.Error(err)
+			}
+			time.Sleep(time.Duration(100+6000*s.random()*s.random()) * time.Millisecond)
+		}
+	})
+	f.wait.Go(func() {
+		for time.Now().Before(end) {
+			// At least half of the entry hosts stay in contact with the log.
+			host := f.hosts[s.randomIndex(len(f.hosts)/2)].Name
+			s.SetStoreFault(host, StoreFault{Refuses: true})
+			time.Sleep(time.Duration(500+6000*s.random()) * time.Millisecond)
+			if s.chance(0.7) {
+				s.SetStoreFault(host, StoreFault{})
+			}
+		}
+	})
+	for k := range 4 {
+		keys = append(keys, fmt.Sprint("k-one-", k), fmt.Sprint("k-two-", k))
+	}
+	keys = append(keys, "k-none")
+	for time.Now().Before(end) {
+		hosts := s.runningHosts()
+		h, key := hosts[s.randomIndex(len(hosts))], keys[s.randomIndex(len(keys))]
+		f.next++
+		j := &job.Job{ID: JobID(f.next), Spec: "spec", Steps: []job.Step{newStep(1, 500, 300*time.Millisecond)}}
+		f.queue[j.ID] = "tiles"
+		f.wait.Go(func() { _ = s.SubmitWithKey(h, key, "tiles", j) })
+		time.Sleep(time.Duration(20+100*s.random()) * time.Millisecond)
+	}
+	f.wait.Wait()
+	f.endFaults()
+	f.finish()
+}
+
+// TestLedgerOfKeys checks that the ledger finds what it guards against.
+func TestLedgerOfKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLedger()
+		l.configured(keyedVersion(1, twoOrganisations))
+		key, other, unknown := queue.DigestKey("k-1"), queue.DigestKey("k-2"), queue.DigestKey("k-3")
+		l.keyChecked("h", key, "one", true)
+		l.keyChecked("h", other, "two", false)
+		l.configured(keyedVersion(2, map[string][]string{"two": {"k-2"}}))
+		time.Sleep(keyBound)
+		l.keyChecked("h", key, "one", true)
+		l.keyChecked("h", unknown, "", false)
+		if diff := cmp.Diff([]string(nil), l.Violations()); diff != "" {
+			t.Errorf("violations within the bound (-want +got):\n%s", diff)
+		}
+		time.Sleep(time.Millisecond)
+		l.keyChecked("h", key, "one", true)
+		l.keyChecked("h", unknown, "one", true)
+		l.keyChecked("h", other, "one", true)
+		l.keyChecked("h", other, "two", false)
+		var got []string
+		for _, violation := range l.Violations() {
+			for _, part := range []string{"after it was withdrawn", "unknown key runs", "refuses a key"} {
+				if strings.Contains(violation, part) {
+					got = append(got, part)
+				}
+			}
+		}
+		if diff := cmp.Diff([]string{"after it was withdrawn", "unknown key runs", "unknown key runs", "refuses a key"}, got); diff != "" {
+			t.Errorf("violations (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/emulator/site/large_records_test.go
+++ b/internal/emulator/site/large_records_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hornbeammast/hornbeammast/internal/coordination/intake"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/verdict"
 )
@@ -77,7 +78,7 @@
 		}
 		j := &job.Job{ID: JobID(1), Spec: "spec", Steps: steps}
 		began := time.Now()
-		err := f.hosts[0].Intake().Submit(t.Context(), 1, &configuration.Queues[0], j)
+		err := f.hosts[0].Intake().Submit(t.Context(), intake.Caller{Configuration: configuration, Queue: &configuration.Queues[0]}, j)
 		if e := verdict.FromError(err); e.Verdict != verdict.NotRun || e.Cause != verdict.CauseTooLarge || time.Since(began) > 0 {
 			t.Errorf("%v after %s; want a refusal at once", err, time.Since(began))
 		}
--- a/internal/emulator/site/ledger.go
+++ b/internal/emulator/site/ledger.go
@@ -22,6 +22,8 @@
 	violations []string
 	// routes holds the pools to which the configurations send each queue.
 	routes map[string]map[string]bool
+	// keys holds the periods in which each key is valid, in order.
+	keys map[queue.KeyDigest][]keyPeriod
 	// gangCheckpoints holds the checkpoint with which the first member of each run was started.
 	gangCheckpoints map[gangKey]string
 	// Starts and Ends count runs, Moves and Maintained count accepted machine orders.
@@ -101,7 +103,7 @@
 }
 
 func newLedger() *Ledger {
-	return &Ledger{jobs: map[job.ID]*submitted{}, cancels: map[job.ID]bool{}, tasks: map[worker.TaskName]*taskHistory{}, orders: map[string]machineOrder{}, routes: map[string]map[string]bool{}, gangCheckpoints: map[gangKey]string{}}
+	return &Ledger{jobs: map[job.ID]*submitted{}, cancels: map[job.ID]bool{}, tasks: map[worker.TaskName]*taskHistory{}, orders: map[string]machineOrder{}, routes: map[string]map[string]bool{}, keys: map[queue.KeyDigest][]keyPeriod{}, gangCheckpoints: map[gangKey]string{}}
 }
 
 // Violations returns a message for each violation of a guarantee.
@@ -123,10 +125,11 @@
 	l.violations = append(l.violations, fmt.Sprintf(format, args...))
 }
 
-// configured records where a configuration sends its queues.
+// configured records where a configuration sends its queues, and its keys.
 func (l *Ledger) configured(c *queue.Configuration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.keysPublished(c)
 	for n := range c.Queues {
 		q := &c.Queues[n]
 		if l.routes[q.Name] == nil {
@@ -136,12 +139,15 @@
 	}
 }
 
-func (l *Ledger) submit(j *job.Job, actual []taskBehaviour) {
+// submit notes a job unless there is one with its ID, and reports whether it was noted.
+func (l *Ledger) submit(j *job.Job, actual []taskBehaviour) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, ok := l.jobs[j.ID]; !ok {
+	_, known := l.jobs[j.ID]
+	if !known {
 		l.jobs[j.ID] = &submitted{Job: j, actual: actual}
 	}
+	return !known
 }
 
 func (l *Ledger) accepted(id job.ID) {
--- a/internal/jobhost/directory.go
+++ b/internal/jobhost/directory.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hornbeammast/hornbeammast/internal/coordination/candidacy"
+	"github.com/hornbeammast/hornbeammast/internal/coordination/intake"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
@@ -161,27 +162,27 @@
 	return all
 }
 
-// State returns a job's state from the owner of a partition. The first bool is false if there
+// State returns a job's status from the owner of a partition. The first bool is false if there
 // is no such job, the second if the owner could not tell.
-func (d *directory) State(ctx context.Context, partition int, id job.ID) (job.State, bool, bool) {
-	return d.stateIn(ctx, partition, id, false)
+func (d *directory) State(ctx context.Context, partition int, id job.ID) (intake.Status, bool, bool) {
+	return d.statusIn(ctx, partition, id, false)
 }
 
-// directState is the same without the partitions to which that one has forwarded the job.
-func (d *directory) directState(ctx context.Context, partition int, id job.ID) (job.State, bool, bool) {
-	return d.stateIn(ctx, partition, id, true)
+// directStatus is the same without the partitions to which that one has forwarded the job.
+func (d *directory) directStatus(ctx context.Context, partition int, id job.ID) (intake.Status, bool, bool) {
+	return d.statusIn(ctx, partition, id, true)
 }
 
-func (d *directory) stateIn(ctx context.Context, partition int, id job.ID, direct bool) (job.State, bool, bool) {
+func (d *directory) statusIn(ctx context.Context, partition int, id job.ID, direct bool) (intake.Status, bool, bool) {
 	if p, ok := d.host.actingPartition(partition); ok {
-		return p.state(ctx, id, direct)
+		return p.status(ctx, id, direct)
 	}
 	request := &wire.JobStateRequest{Id: string(id), Partition: int32(partition), Direct: direct} //nolint:gosec // Below Partitions.
 	reply, err := askOwner(ctx, d, partition, d.host.peers.State, request)
 	if err != nil {
-		return "", false, false
+		return intake.Status{}, false, false
 	}
-	return job.State(reply.GetState()), reply.GetState() != "", true
+	return intake.Status{State: job.State(reply.GetState()), Organisation: reply.GetOrganisation()}, reply.GetState() != "", true
 }
 
 // releaseQueue has the owner of a partition release a queue.
--- a/internal/jobhost/held_jobs.go
+++ b/internal/jobhost/held_jobs.go
@@ -7,6 +7,7 @@
 	"github.com/hornbeammast/hornbeammast/internal/coordination/handover"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/verdict"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
 	"github.com/hornbeammast/hornbeammast/internal/state/jobs"
 )
@@ -22,6 +23,9 @@
 
 // forwardedJob is a job that another partition has.
 type forwardedJob struct {
+	// organisation and queue, its address, are those of the job.
+	organisation, queue string
+
 	partition int
 	at        time.Time
 }
@@ -156,7 +160,8 @@
 	for _, j := range d.jobs {
 		forwarded := *j.Job
 		forwarded.Pool, forwarded.ConfigVersion = d.intake.Pool, d.intake.Version
-		if err := p.host.submitter.Submit(ctx, &forwarded); err != nil {
+		// The job of another organisation that has the ID there is the first.
+		if err := p.host.submitter.Submit(ctx, &forwarded); err != nil && verdict.FromError(err).Cause != verdict.CauseDuplicate {
 			return err
 		}
 		p.host.events.Event("job-forwarded", "job", j.ID, "partition", p.id.Number, "to", target, "pool", d.intake.Pool,
@@ -187,7 +192,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.forwarded[id] = forwardedJob{target, p.host.now()}
+	p.forwarded[id] = forwardedJob{h.state.Organisation, h.state.QueueAddress, target, p.host.now()}
 	delete(p.held, id)
 	delete(p.cancelled, id)
 	close(h.settled)
--- a/internal/jobhost/log_recorder.go
+++ b/internal/jobhost/log_recorder.go
@@ -88,6 +88,9 @@
 			return nil
 		}
 		mayHaveRun = mayHaveRun || o.verdict != verdict.NotRun
+		if o.otherOrganisation && !mayHaveRun {
+			return verdict.NotRunError(verdict.CauseDuplicate, message)
+		}
 		if o.refused && !mayHaveRun {
 			return verdict.NotRunError(verdict.CauseTooLarge, message)
 		}
@@ -112,7 +115,7 @@
 		if o.verdict != verdict.NotRun {
 			result.verdict = o.verdict
 		}
-		result.message, result.refused = o.message, o.refused
+		result.message, result.refused, result.otherOrganisation = o.message, o.refused, o.otherOrganisation
 		return o.verdict == verdict.Ran || o.refused
 	}
 	if p := s.host.ownedPartition(partition); p != nil {
@@ -219,7 +222,10 @@
 		s.host.directory.markUnresponsive(address)
 		return outcome{verdict: verdict.FromError(err).Verdict, message: err.Error()}
 	}
-	return outcome{verdict: verdict.Verdict(reply.GetVerdict()), message: reply.GetMessage(), refused: reply.GetRefused()}
+	return outcome{
+		verdict: verdict.Verdict(reply.GetVerdict()), message: reply.GetMessage(), refused: reply.GetRefused(),
+		otherOrganisation: reply.GetRefused() && reply.GetMessage() == messageOtherOrganisation,
+	}
 }
 
 // addForPeer adds a record on behalf of a peer.
--- a/internal/jobhost/partition.go
+++ b/internal/jobhost/partition.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/coordination/handover"
+	"github.com/hornbeammast/hornbeammast/internal/coordination/intake"
 	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
@@ -124,15 +125,16 @@
 	p.host.reacquire(p)
 }
 
-// lookup returns the state of a job that the partition has taken.
-func (p *partition) lookup(id job.ID) (job.State, bool) {
+// lookup returns the status of a job that the partition has taken.
+func (p *partition) lookup(id job.ID) (intake.Status, bool) {
 	p.mu.Lock()
 	t, ok := p.taken[id]
 	p.mu.Unlock()
 	if !ok {
-		return "", false
+		return intake.Status{}, false
 	}
-	return t.runner.pool.State(id)
+	state, ok := t.runner.pool.State(id)
+	return intake.Status{State: state, Organisation: p.host.visibleTo(t.job.Organisation, t.job.QueueAddress)}, ok
 }
 
 // loadedRunner returns the runner of a pool, if the partition is loaded and has the pool.
--- a/internal/jobhost/partition_records.go
+++ b/internal/jobhost/partition_records.go
@@ -59,9 +59,9 @@
 
 // applyJob adds a job and ignores one that is already known. The lock is held.
 func (p *partition) applyJob(id job.ID, record keyedlog.Record) {
-	t, taken := p.taken[id]
+	first, known := p.known(id)
 	sum := xxhash.Sum64(record.Value)
-	if p.waits(id) || (taken && t.sum == sum) {
+	if known && first.sum == sum {
 		return
 	}
 	submitted, err := job.Unmarshal(record.Value)
@@ -70,8 +70,8 @@
 			"offset", record.Offset, "error", err)
 		return
 	}
-	if taken {
-		p.restoreJob(t, submitted)
+	if known {
+		p.restoreJob(first.job, submitted)
 		return
 	}
 	state := jobs.New(submitted)
@@ -87,28 +87,6 @@
 	p.take(state, sum)
 }
 
-// waits reports whether it is not known yet if the partition takes a job that it has read. The
-// lock is held.
-func (p *partition) waits(id job.ID) bool {
-	_, held := p.held[id]
-	_, loading := p.loading[id]
-	return held || loading
-}
-
-// restoreJob records the job that was taken again if the record of a repeat, which replaces it in
-// the log, differs in what runs where: a later owner knows the newest record only. The lock is held.
-func (p *partition) restoreJob(t takenJob, repeated *job.Job) {
-	if t.job.SameWork(repeated) {
-		return
-	}
-	data, err := t.job.Marshal()
-	p.host.events.Event("job-repeated", "job", t.job.ID, "partition", p.id.Number, "pool", t.job.Pool, "repeat-pool", repeated.Pool,
-		"config", t.job.ConfigVersion, "repeat-config", repeated.ConfigVersion, "error", err)
-	if err == nil {
-		p.recorder.enqueue(keyedlog.Record{Key: keyJob + string(t.job.ID), Value: data})
-	}
-}
-
 // take adds a new job to its pool. The lock is held.
 func (p *partition) take(state *jobs.Job, sum uint64) {
 	p.host.events.Event("job-taken", "job", state.ID, "pool", state.Pool, "queue", state.Queue, "config", state.ConfigVersion,
--- a/internal/jobhost/peer_handler.go
+++ b/internal/jobhost/peer_handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hornbeammast/hornbeammast/internal/coordination/intake"
 	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
@@ -13,21 +14,21 @@
 // catchUpInterval is how often catchUp checks the position of the follower.
 const catchUpInterval = 5 * time.Millisecond
 
-// state returns the state of a job in an owned partition. Before it reports a job as unknown,
+// status returns the status of a job in an owned partition. Before it reports a job as unknown,
 // it reads the partition to its end; ok is false if that fails. Unless direct is set, it asks the
 // partition to which it has forwarded the job.
-func (p *partition) state(ctx context.Context, id job.ID, direct bool) (state job.State, known, ok bool) {
-	if state, known := p.lookup(id); known {
-		return state, true, true
+func (p *partition) status(ctx context.Context, id job.ID, direct bool) (status intake.Status, known, ok bool) {
+	if status, known := p.lookup(id); known {
+		return status, true, true
 	}
 	if !p.catchUp(ctx) {
-		return "", false, false
+		return intake.Status{}, false, false
 	}
 	p.awaitSettled(ctx, id)
-	if state, known := p.lookup(id); known {
-		return state, true, true
+	if status, known := p.lookup(id); known {
+		return status, true, true
 	}
-	return p.stateOfUntaken(ctx, id, direct)
+	return p.statusOfUntaken(ctx, id, direct)
 }
 
 // awaitSettled waits, within a bound, until it is known whether the partition takes a job.
@@ -46,23 +47,30 @@
 	}
 }
 
-// stateOfUntaken returns the state of a job that the partition has not taken: one that is held or
+// statusOfUntaken returns the status of a job that the partition has not taken: one that is held or
 // was forwarded is accepted.
-func (p *partition) stateOfUntaken(ctx context.Context, id job.ID, direct bool) (state job.State, known, ok bool) {
+func (p *partition) statusOfUntaken(ctx context.Context, id job.ID, direct bool) (status intake.Status, known, ok bool) {
 	p.mu.Lock()
-	_, held := p.held[id]
+	h, held := p.held[id]
 	f, forwarded := p.forwarded[id]
 	p.mu.Unlock()
+	status.State = job.Queued
+	switch {
+	case held:
+		status.Organisation = p.host.visibleTo(h.state.Organisation, h.state.QueueAddress)
+	case forwarded:
+		status.Organisation = p.host.visibleTo(f.organisation, f.queue)
+	}
 	if !forwarded || direct {
-		return job.Queued, held, true
+		return status, held, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, forwardedTimeout)
 	defer cancel()
-	state, known, ok = p.host.directory.directState(ctx, f.partition, id)
+	there, known, ok := p.host.directory.directStatus(ctx, f.partition, id)
 	if ok && !known && p.host.now().Sub(f.at) < forwardedVisible {
-		return job.Queued, true, true
+		return status, true, true
 	}
-	return state, known, ok
+	return there, known, ok
 }
 
 // catchUp waits until all records that are now in the log have been applied, and returns
@@ -92,11 +100,11 @@
 	if !ok {
 		return &wire.JobStateReply{}, nil
 	}
-	state, known, ok := p.state(ctx, job.ID(request.GetId()), request.GetDirect())
+	status, known, ok := p.status(ctx, job.ID(request.GetId()), request.GetDirect())
 	if !known {
-		state = ""
+		status = intake.Status{}
 	}
-	return &wire.JobStateReply{Owner: ok, State: string(state)}, nil
+	return &wire.JobStateReply{Owner: ok, State: string(status.State), Organisation: status.Organisation}, nil
 }
 
 // ReleaseQueue has an owned partition take no more new jobs of a queue.
--- a/internal/jobhost/recorder.go
+++ b/internal/jobhost/recorder.go
@@ -41,6 +41,8 @@
 	verdict verdict.Verdict
 	message string
 	refused bool
+	// otherOrganisation is set if the job belongs to another organisation.
+	otherOrganisation bool
 }
 
 var (
@@ -176,15 +178,7 @@
 
 func (r *recorder) record(ctx context.Context) {
 	var batches []poolBatch
-	submitted := r.takeSubmitted()
-	records := make([]keyedlog.Record, 0, len(submitted))
-	for _, s := range submitted {
-		records = append(records, s.record)
-	}
-	// Submitted jobs are applied before they are recorded, so that one append records
-	// both the jobs and their placements; no start is sent before that append succeeds.
-	// Cancels take effect only once they are recorded.
-	r.partition.apply(withPrefix(records, keyJob))
+	submitted, records := r.refuseOthers(r.takeSubmitted())
 	for _, runner := range r.partition.runners() {
 		runner.planIfDue(ctx)
 		changes, err := runner.pool.TakeUnrecorded()
--- a/internal/transport/jobs/server.go
+++ b/internal/transport/jobs/server.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/hornbeammast/hornbeammast/internal/coordination/access"
 	"github.com/hornbeammast/hornbeammast/internal/coordination/intake"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/jobapi"
@@ -22,11 +23,15 @@
 	maxBody = 1 << 20
 	// requestTimeout bounds the time to answer a request.
 	requestTimeout = 5 * time.Second
+	// headerAuthorization carries the key of an organisation.
+	headerAuthorization = "Authorization"
 )
 
 // Host is the entry host behind the interface.
 type Host interface {
-	Configuration() *queue.Configuration
+	// Access returns the keys of the configuration in force, with that configuration; nil if there is
+	// none yet.
+	Access() *access.Directory
 	Intake() *intake.Intake
 }
 
@@ -43,32 +48,39 @@
 
 type server struct{ host Host }
 
-// queueRequest holds the queue and, except in requests for the waiting count, the job that
-// a request names.
+// queueRequest holds the caller with the queue and, except in requests for the waiting count, the job
+// that a request names.
 type queueRequest struct {
-	config *queue.Configuration
-	queue  *queue.Queue
+	caller intake.Caller
 	id     job.ID
 }
 
-// withQueue looks up the queue of a request and calls answer with it and with a context
+// withQueue looks up the queue and the organisation of a request and calls answer with it and with a context
 // that ends after requestTimeout.
 func (s server) withQueue(answer func(context.Context, http.ResponseWriter, *http.Request, queueRequest)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		c := s.host.Configuration()
-		if c == nil {
+		directory := s.host.Access()
+		if directory == nil {
 			writeProblem(w, http.StatusServiceUnavailable, verdict.NotRun, "no configuration is in force yet; try again")
 			return
 		}
+		c := directory.Configuration()
 		name := r.PathValue("queue")
 		n := slices.IndexFunc(c.Queues, func(q queue.Queue) bool { return q.Name == name })
 		if n < 0 {
 			writeProblem(w, http.StatusNotFound, verdict.NotRun, "there is no queue "+strconv.Quote(name))
 			return
 		}
+		organisation, err := directory.Caller(r.Header[headerAuthorization], c.Queues[n].Public)
+		if err != nil {
+			w.Header().Set("WWW-Authenticate", access.Scheme)
+			writeError(w, err)
+			return
+		}
 		ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
 		defer cancel()
-		answer(ctx, w, r, queueRequest{c, &c.Queues[n], job.ID(r.PathValue("id"))})
+		caller := intake.Caller{Configuration: c, Queue: &c.Queues[n], Organisation: organisation}
+		answer(ctx, w, r, queueRequest{caller, job.ID(r.PathValue("id"))})
 	}
 }
 
@@ -83,7 +95,7 @@
 		writeProblem(w, http.StatusBadRequest, verdict.NotRun, err.Error())
 		return
 	}
-	if err := s.host.Intake().Submit(ctx, target.config.Version, target.queue, submission.Job(string(target.id))); err != nil {
+	if err := s.host.Intake().Submit(ctx, target.caller, submission.Job(string(target.id))); err != nil {
 		writeError(w, err)
 		return
 	}
@@ -91,7 +103,7 @@
 }
 
 func (s server) state(ctx context.Context, w http.ResponseWriter, _ *http.Request, target queueRequest) {
-	state, known, err := s.host.Intake().State(ctx, target.config, target.queue, target.id)
+	state, known, err := s.host.Intake().State(ctx, target.caller, target.id)
 	switch {
 	case err != nil:
 		writeError(w, err)
@@ -103,7 +115,7 @@
 }
 
 func (s server) cancel(ctx context.Context, w http.ResponseWriter, _ *http.Request, target queueRequest) {
-	known, err := s.host.Intake().Cancel(ctx, target.config, target.queue, target.id)
+	known, err := s.host.Intake().Cancel(ctx, target.caller, target.id)
 	switch {
 	case err != nil:
 		writeError(w, err)
@@ -115,7 +127,7 @@
 }
 
 func (s server) waiting(ctx context.Context, w http.ResponseWriter, _ *http.Request, target queueRequest) {
-	waiting, err := s.host.Intake().Waiting(ctx, target.queue)
+	waiting, err := s.host.Intake().Waiting(ctx, target.caller.Queue)
 	if err != nil {
 		writeError(w, err)
 		return
--- a/internal/transport/jobs/server_test.go
+++ b/internal/transport/jobs/server_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/hornbeammast/hornbeammast/internal/coordination/access"
 	"github.com/hornbeammast/hornbeammast/internal/coordination/intake"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/queue"
@@ -22,10 +23,11 @@
 	cancelled        []job.ID
 	err              error
 	ownerUnavailable bool
+	organisations    []queue.Organisation
 }
 
-func (f *fakeHost) Configuration() *queue.Configuration {
-	return &queue.Configuration{Version: 1, Queues: []queue.Queue{{Name: "tiles", Pool: "maps", MaxAttempts: 2}}, Pools: []queue.Pool{{Name: "maps"}}}
+func (f *fakeHost) Access() *access.Directory {
+	return access.New(&queue.Configuration{Version: 1, RequiresKeys: f.organisations != nil, Organisations: f.organisations, Queues: []queue.Queue{{Name: "tiles", Pool: "maps", MaxAttempts: 2}}, Pools: []queue.Pool{{Name: "maps"}}})
 }
 func (f *fakeHost) Intake() *intake.Intake { return intake.New(f, f, f, time.Now) }
 func (f *fakeHost) Event(string, ...any)   {}
@@ -44,9 +46,13 @@
 	return f.err
 }
 
-func (f *fakeHost) State(_ context.Context, _ int, id job.ID) (job.State, bool, bool) {
-	_, known := f.submitted[id]
-	return job.Queued, known, !f.ownerUnavailable
+func (f *fakeHost) State(_ context.Context, _ int, id job.ID) (intake.Status, bool, bool) {
+	j, known := f.submitted[id]
+	status := intake.Status{State: job.Queued}
+	if known {
+		status.Organisation = j.Organisation
+	}
+	return status, known, !f.ownerUnavailable
 }
 
 func (f *fakeHost) Waiting(context.Context, string, string) (int, bool) {
@@ -58,8 +64,9 @@
 	validJob = `{"spec":"s","steps":[{"tasks":2,"millicores":500,"estimate":"1s"},{"tasks":1,"depends-on":[0]}]}`
 )
 
-func serve(f *fakeHost, method, path, body string) *httptest.ResponseRecorder {
+func serve(f *fakeHost, method, path, body string, authorization ...string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Header["Authorization"] = authorization
 	ctx, cancel := context.WithTimeout(r.Context(), 300*time.Millisecond)
 	defer cancel()
 	w := httptest.NewRecorder()
@@ -117,3 +124,34 @@
 		t.Errorf("%d, %d cancels recorded", w.Code, len(f.cancelled))
 	}
 }
+
+// TestKeys guards against a call without a valid key that takes effect on this interface.
+func TestKeys(t *testing.T) {
+	f := &fakeHost{submitted: map[job.ID]*job.Job{}, organisations: []queue.Organisation{
+		{Name: "one", Keys: []queue.KeyDigest{queue.DigestKey("k-1")}}, {Name: "two", Keys: []queue.KeyDigest{queue.DigestKey("k-2")}},
+	}}
+	for _, c := range []struct {
+		method, path, key string
+		status            int
+	}{
+		{http.MethodPost, path, "", http.StatusUnauthorized},
+		{http.MethodPost, path, "Token k-3", http.StatusUnauthorized},
+		{http.MethodPost, "/jobs/none/00000000000000aa", "", http.StatusNotFound},
+		{http.MethodGet, "/jobs/tiles", "", http.StatusUnauthorized},
+		{http.MethodPost, path, "Token k-1", http.StatusOK},
+		{http.MethodGet, path, "Token k-1", http.StatusOK},
+		{http.MethodGet, path, "Token k-2", http.StatusGone},
+		{http.MethodDelete, path, "Token k-2", http.StatusGone},
+		{http.MethodDelete, path, "", http.StatusUnauthorized},
+		{http.MethodDelete, path, "Token k-1", http.StatusOK},
+	} {
+		w := serve(f, c.method, c.path, validJob, c.key)
+		refused := strings.Contains(w.Body.String(), `"verdict":"not-run"`) && !strings.Contains(w.Body.String(), "k-")
+		if w.Code != c.status || refused != (c.status != http.StatusOK) || (w.Header().Get("WWW-Authenticate") == "Token") != (c.status == http.StatusUnauthorized) {
+			t.Errorf("%s %s %q: %d %v %s; want %d", c.method, c.path, c.key, w.Code, w.Header(), w.Body, c.status)
+		}
+	}
+	if len(f.submitted) != 1 || len(f.cancelled) != 1 {
+		t.Errorf("%d jobs, %d cancels; want one each", len(f.submitted), len(f.cancelled))
+	}
+}
