--- a/internal/cmd/cmd_job.go
+++ b/internal/cmd/cmd_job.go
@@ -25,7 +25,7 @@
 
 // jobSubmitCmd is `hornbeammast job submit QUEUE FILE [--id ID]`.
 type jobSubmitCmd struct {
-	remote
+	keyed
 
 	Queue string `arg:"" help:"Queue to submit the job to."`
 	File  string `arg:"" help:"File with the job, JSON with comments; - reads standard input."`
@@ -49,7 +49,7 @@
 		}
 		s.ID = hex.EncodeToString(random)
 	}
-	answer, err := s.call(http.MethodPost, jobPath(s.Queue, s.ID), nil, plain)
+	answer, err := s.callWithKey(http.MethodPost, jobPath(s.Queue, s.ID), plain)
 	if err != nil {
 		return err
 	}
@@ -65,7 +65,7 @@
 
 // jobStatusCmd is `hornbeammast job status QUEUE [ID]`.
 type jobStatusCmd struct {
-	remote
+	keyed
 
 	Queue string `arg:"" help:"Queue of the job."`
 	ID    string `arg:"" optional:"" help:"ID of the job; if left out, the waiting jobs are counted."`
@@ -77,7 +77,7 @@
 	if s.ID != "" {
 		path = jobPath(s.Queue, s.ID)
 	}
-	answer, err := s.call(http.MethodGet, path, nil, nil)
+	answer, err := s.callWithKey(http.MethodGet, path, nil)
 	if err != nil {
 		return err
 	}
@@ -106,7 +106,7 @@
 
 // jobCancelCmd is `hornbeammast job cancel QUEUE ID`.
 type jobCancelCmd struct {
-	remote
+	keyed
 
 	Queue string `arg:"" help:"Queue of the job."`
 	ID    string `arg:"" help:"ID of the job."`
@@ -114,7 +114,7 @@
 
 // Run cancels the job.
 func (j *jobCancelCmd) Run(c *console) error {
-	answer, err := j.call(http.MethodDelete, jobPath(j.Queue, j.ID), nil, nil)
+	answer, err := j.callWithKey(http.MethodDelete, jobPath(j.Queue, j.ID), nil)
 	if err != nil {
 		return err
 	}
--- a/internal/cmd/remote.go
+++ b/internal/cmd/remote.go
@@ -27,6 +27,13 @@
 
 // call sends one request and returns the answer, whatever its status.
 func (r remote) call(method, path string, query url.Values, body []byte) (httpconn.Answer, error) {
+	if len(query) > 0 {
+		path += "?" + query.Encode()
+	}
+	return r.send(httpconn.Request{Method: method, Path: path, Body: body})
+}
+
+func (r remote) send(request httpconn.Request) (httpconn.Answer, error) {
 	client, err := httpconn.New()
 	if err != nil {
 		return httpconn.Answer{}, err
@@ -34,14 +41,11 @@
 	defer client.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), remoteTimeout)
 	defer cancel()
-	if len(query) > 0 {
-		path += "?" + query.Encode()
-	}
-	answer, err := client.Do(ctx, r.Operator, httpconn.Request{Method: method, Path: path, Body: body})
+	answer, err := client.Do(ctx, r.Operator, request)
 	if err == nil {
 		return answer, nil
 	}
-	if method != http.MethodGet && httpconn.StageOf(err) == httpconn.MaybeSent {
+	if request.Method != http.MethodGet && httpconn.StageOf(err) == httpconn.MaybeSent {
 		return answer, &exitError{exitUnknown, errors.Wrap(err, "the change may have taken effect; check with: hornbeammast status")}
 	}
 	return answer, errors.Wrapf(err, "call the entry host at %s (check that it is running and that --operator is right)", r.Operator)
