Pools start tasks only within their part of an organisation's quota

The pool counts what each organisation's runs request as they are attached and released, also what is being stopped, starts without an answer that may still be carried out, and long-running tasks between two runs, so that they don't lose their room. Tasks, gangs, copies and trials of suspects are checked. A task that the quota keeps waiting holds up no other. A new owner begins with the floor; a quota that is lowered in a tenure admits nothing until the decider has divided it. Allotments are fenced by the tokens of the decider and of the pool's owner and by their sequence.

--- a/internal/coordination/schedule/copies.go
+++ b/internal/coordination/schedule/copies.go
@@ -32,6 +32,9 @@
 	if first.adopted || now.Sub(first.startedAt) < time.Duration(copyFactor*float64(expected)) {
 		return
 	}
+	if !p.admits(t.step, t) {
+		return
+	}
 	h := p.bestHost(t, now)
 	if h == nil || h == first.host {
 		return
--- a/internal/coordination/schedule/cordon.go
+++ b/internal/coordination/schedule/cordon.go
@@ -108,6 +108,9 @@
 	if !h.report.Draining && !p.withinMaxUnavailable(r.task.step, r.task, now) {
 		return
 	}
+	if !p.admitsMove(r.task.step) {
+		return
+	}
 	target := p.bestHost(r.task, now)
 	// Unless its host is draining or cordoned, it waits for one without restrictions.
 	if target == nil || target == h || (target.use != UseAll && !h.report.Draining && !h.cordoned()) {
--- a/internal/coordination/schedule/load.go
+++ b/internal/coordination/schedule/load.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hornbeammast/hornbeammast/internal/coordination/quota"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
 
@@ -18,6 +19,13 @@
 	// MaxPerHost bounds of their steps.
 	SpreadHosts int
 	Hosts       map[worker.ID]HostLoad
+	// Token is the owner's fencing token.
+	Token worker.FencingToken
+	// FleetToken is the highest token of a decider on quotas that the owner has seen, AllotSequence
+	// the number of the last allotment that it has applied under this token.
+	FleetToken, AllotSequence int64
+	// Organisations is the use of the organisations with a quota.
+	Organisations map[string]quota.Use
 }
 
 // HostLoad is how a pool uses one host. Tasks for which room is reserved count as runs.
@@ -42,7 +50,12 @@
 func (p *Pool) Load(now time.Time) Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	load := Load{Pool: p.name, Hosts: make(map[worker.ID]HostLoad, len(p.hosts))}
+	return p.load(now)
+}
+
+// load is Load. The lock is held.
+func (p *Pool) load(now time.Time) Load {
+	load := Load{Pool: p.name, Hosts: make(map[worker.ID]HostLoad, len(p.hosts)), Token: p.token}
 	for id, h := range p.hosts {
 		load.Hosts[id] = h.load(now)
 	}
@@ -58,6 +71,7 @@
 	if len(homeless) > 0 {
 		load.SpreadHosts = max(load.SpreadHosts, p.hostsWithLongRunning()+hostsToPack(homeless, capacity))
 	}
+	p.organisationLoads(&load, now)
 	return load
 }
 
@@ -71,6 +85,7 @@
 			continue
 		}
 		s := e.step(occurrence, number)
+		e.addDemand(s, state.OpenTasks(number))
 		if e.class(s, e.objective(occurrence), now) == classTooLate {
 			continue
 		}
--- a/internal/coordination/schedule/outcome.go
+++ b/internal/coordination/schedule/outcome.go
@@ -134,6 +134,7 @@
 	r.task.runs = append(r.task.runs, r)
 	r.task.lastRun = max(r.task.lastRun, r.number)
 	r.task.step.job.liveRuns++
+	p.organisations.attached(r)
 }
 
 // release detaches a run that is certainly not on its host any more.
@@ -150,6 +151,7 @@
 		}
 	}
 	t.step.job.liveRuns--
+	p.organisations.released(r)
 	if !t.step.job.Ended() {
 		// The job is recorded again, without this placement.
 		p.markDirty(t.step.job)
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -19,6 +19,8 @@
 			}
 		}
 		switch {
+		case c.step.def.Gang && !p.admits(c.step, c.tasks...):
+			// The quota keeps it waiting, not the lack of room.
 		case c.step.def.Gang:
 			waiting = !p.placeGang(c, now, orders) || waiting
 		case unplaced.excludes(c.step):
@@ -38,9 +40,13 @@
 	p.startCopies(now, orders)
 }
 
-// placeTasks places a step's tasks one by one and reports whether all could be placed.
+// placeTasks places a step's tasks one by one and reports whether there was room for all that the
+// quota admits.
 func (p *Pool) placeTasks(c candidate, now time.Time, orders *Orders) bool {
 	for _, t := range c.tasks {
+		if !p.admits(c.step, t) {
+			continue
+		}
 		h := p.unreserve(t)
 		if h == nil || !p.allowed(t.step, h, now) {
 			h = p.bestHost(t, now)
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -52,6 +52,7 @@
 	}
 	p.expireLeases(now)
 	p.expireReservations(now)
+	p.countPending(now)
 	p.clearSuspicions()
 	p.stopUnneeded(now)
 	p.evacuate(now)
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -58,6 +58,8 @@
 	// hasGivenUp is set until the next plan when a job was given up.
 	hasGivenUp bool
 	hosts      map[worker.ID]*host
+	// organisations holds what the owners of the jobs use and may use.
+	organisations organisations
 	// unanswered holds the starts without an answer to workers that have left the pool.
 	unanswered map[worker.ID]unansweredStarts
 	// fenced is set once a host has accepted the fencing token of a later owner.
@@ -75,7 +77,7 @@
 		jobs:            map[job.ID]*jobEntry{}, hosts: map[worker.ID]*host{},
 		open: map[job.ID]*jobEntry{}, dirty: map[job.ID]*jobEntry{}, unacknowledged: map[worker.ID]*host{},
 		reservations: map[*task]reservation{}, suspects: map[*task]struct{}{},
-		unanswered: map[worker.ID]unansweredStarts{}, estimates: estimates{},
+		unanswered: map[worker.ID]unansweredStarts{}, estimates: estimates{}, organisations: newOrganisations(),
 	}
 	for _, apply := range opts {
 		apply(p)
@@ -110,7 +112,7 @@
 	}
 	e := &jobEntry{
 		Job: j, criticalPaths: j.CriticalPaths(), recordedState: j.FinalState(), steps: map[stepKey]*step{},
-		started: j.AnyRunEnded() || len(j.Placements) > 0, begun: j.AnyRunEnded(),
+		started: j.AnyRunEnded() || len(j.Placements) > 0, begun: j.AnyRunEnded(), organisation: p.organisations.get(j.Organisation),
 	}
 	p.jobs[j.ID] = e
 	if !e.Ended() {
--- a/internal/coordination/schedule/suspects.go
+++ b/internal/coordination/schedule/suspects.go
@@ -107,6 +107,9 @@
 				orders.PlacementQueries = append(orders.PlacementQueries, q)
 			}
 		}
+		if !p.admits(t.step, t) {
+			continue
+		}
 		p.unreserve(t)
 		h := p.trialHost(t, now)
 		if h == nil {
--- a/internal/coordination/schedule/task.go
+++ b/internal/coordination/schedule/task.go
@@ -16,6 +16,8 @@
 	// started is set once a task has been placed, by this owner or an earlier one; begun once
 	// a host is known to have run one.
 	started, begun bool
+	// organisation is nil for a job without one.
+	organisation *organisation
 	// recordedState is the final state that is recorded in the log, or empty.
 	recordedState job.State
 	steps         map[stepKey]*step
@@ -72,6 +74,8 @@
 	lapsedRuns int
 	// downSince is when the last run of a long-running task was released.
 	downSince time.Time
+	// hasRun is set once a host is known to have run the task, if the job has an organisation.
+	hasRun bool
 }
 
 // runState is what the owner knows of a run.
