The fleet owner divides the quotas, and pool owners apply their parts

It does so before it lists machines, so that a slow machine service does not hold up the quotas. Loads are collected once more for the machines only if listing took longer than a step. A pool for which no configuration is known starts nothing of organisations. Without organisations with a quota the fleet owner does as before.

--- a/internal/coordination/schedule/admits.go
+++ b/internal/coordination/schedule/admits.go
@@ -9,9 +9,12 @@
 // organisation's quota that the pool has.
 func (p *Pool) admits(s *step, tasks ...*task) bool {
 	o := s.job.organisation
-	if o == nil || !o.isLimited() {
+	if o == nil || (!o.isLimited() && !p.organisations.awaited) {
 		return true
 	}
+	if p.organisations.awaited {
+		return false
+	}
 	added, part := worker.Resources{}, p.organisations.partOf(o)
 	for _, t := range tasks {
 		if _, counted := p.organisations.restarting[t]; !counted {
--- a/internal/coordination/schedule/organisation.go
+++ b/internal/coordination/schedule/organisation.go
@@ -41,6 +41,8 @@
 	// restarting holds the long-running tasks that ran and have no run now. They keep what they had,
 	// so that the decider does not lend it to another pool before they run again.
 	restarting map[*task]struct{}
+	// awaited is set while the quotas are not known.
+	awaited bool
 }
 
 func newOrganisations() organisations {
@@ -62,6 +64,13 @@
 
 func (o *organisation) isLimited() bool { return o.quota != worker.Resources{} }
 
+// AwaitOrganisations has jobs of organisations wait until the first SetOrganisations.
+func (p *Pool) AwaitOrganisations() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.organisations.awaited = true
+}
+
 // SetOrganisations sets the quotas by the configuration in force, and the number of pools that share
 // them. Parts scale with the quotas. Under a quota that is lowered in the middle of a tenure, other
 // pools may still use more than that, so that nothing is started before the decider has divided it.
@@ -69,7 +78,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := &p.organisations
-	s.pools, s.limited = max(1, pools), 0
+	s.pools, s.limited, s.awaited = max(1, pools), 0, false
 	quotas := make(map[string]worker.Resources, len(configured))
 	for n := range configured {
 		quotas[configured[n].Name] = positive(configured[n].Quota)
--- a/internal/jobhost/fleet_owner.go
+++ b/internal/jobhost/fleet_owner.go
@@ -77,6 +77,7 @@
 	loadedAt time.Time
 	fenced   bool
 	tenure   tenureRecord
+	quotas   *quotaDivision
 	// statusChanged wakes writeStatuses.
 	statusChanged chan struct{}
 }
@@ -107,7 +108,7 @@
 	f := &fleetOwner{
 		host: h, token: token, began: h.now(), cancel: cancel, planner: capacity.NewPlanner(h.settings.Capacity.Options),
 		ordered: map[string]*machineOrder{}, started: map[int64]map[string]bool{}, waves: map[int64]*waveState{}, needs: map[string]capacity.Need{},
-		statusChanged: make(chan struct{}, 1),
+		statusChanged: make(chan struct{}, 1), quotas: newQuotaDivision(token),
 	}
 	f.tenure = newTenureRecord(f.tenurePartition(), h, token)
 	f.loops.Go(func() { f.run(ctx) })
@@ -195,11 +196,15 @@
 		return
 	}
 	f.renewTenure(f.host.now())
+	// Quotas don't wait for the machine service.
+	loads, collected := f.divideQuotas(ctx, config), f.host.now()
 	f.listMachines(ctx)
 	if len(f.listedMachines()) == 0 {
 		return
 	}
-	loads := f.host.allLoads(ctx, config)
+	if loads == nil || f.host.now().Sub(collected) > fleetInterval {
+		loads = f.host.allLoads(ctx, config, 0)
+	}
 	f.reportGone(ctx, loads)
 	view := capacity.View{Now: f.host.now()}
 	f.setLoads(loads, view.Now)
--- a/internal/jobhost/loads.go
+++ b/internal/jobhost/loads.go
@@ -13,8 +13,9 @@
 )
 
 // ownedLoads returns the loads of the pools that this entry host owns. Of one with a later owner it
-// can't know what runs on a host.
-func (h *JobHost) ownedLoads() []*wire.PoolLoad {
+// can't know what runs on a host. The token of the fleet owner that divides quotas counts as seen; 0 if
+// none does.
+func (h *JobHost) ownedLoads(fleetToken int64) []*wire.PoolLoad {
 	now := h.now()
 	if !h.mayAct(now) {
 		return nil
@@ -26,7 +27,7 @@
 		}
 		for _, r := range p.runners() {
 			if !r.pool.Fenced() {
-				all = append(all, loadToProto(r.pool.Load(now)))
+				all = append(all, loadToProto(r.pool.FleetLoad(fleetToken, now)))
 			}
 		}
 	}
@@ -38,6 +39,8 @@
 		Pool: load.Pool, WantedCpu: load.Demand.CPU, WantedMemoryMb: load.Demand.MemoryMB, WantedAccelerators: load.Demand.Accelerators,
 		LongRunningCpu: load.LongRunning.CPU, LongRunningMemoryMb: load.LongRunning.MemoryMB,
 		SpreadHosts: int32(load.SpreadHosts), //nolint:gosec // At most the tasks of a job.
+		Token:       int64(load.Token), AllotFleetToken: load.FleetToken, AllotSequence: load.AllotSequence,
+		Organisations: organisationsToProto(load.Organisations),
 	}
 	for id, h := range load.Hosts {
 		host := &wire.HostLoad{
@@ -57,7 +60,9 @@
 		Pool:        m.GetPool(),
 		Demand:      worker.Resources{CPU: m.GetWantedCpu(), MemoryMB: m.GetWantedMemoryMb(), Accelerators: m.GetWantedAccelerators()},
 		LongRunning: worker.Resources{CPU: m.GetLongRunningCpu(), MemoryMB: m.GetLongRunningMemoryMb()},
-		SpreadHosts: int(m.GetSpreadHosts()), Hosts: make(map[worker.ID]schedule.HostLoad, len(m.GetHosts())),
+		Token:       worker.FencingToken(m.GetToken()), FleetToken: m.GetAllotFleetToken(), AllotSequence: m.GetAllotSequence(),
+		Organisations: organisationsFromProto(m.GetOrganisations()),
+		SpreadHosts:   int(m.GetSpreadHosts()), Hosts: make(map[worker.ID]schedule.HostLoad, len(m.GetHosts())),
 	}
 	for _, h := range m.GetHosts() {
 		load.Hosts[worker.ID(h.GetId())] = schedule.HostLoad{
@@ -70,19 +75,20 @@
 }
 
 // allLoads collects the loads of the configured pools from their owners, all at the same
-// time; pools whose owner does not answer are missing.
-func (h *JobHost) allLoads(ctx context.Context, config *queue.Configuration) map[string]*schedule.Load {
+// time; pools whose owner does not answer are missing. A fleet token other than 0 is that of the
+// sender, who divides quotas.
+func (h *JobHost) allLoads(ctx context.Context, config *queue.Configuration, fleetToken int64) map[string]*schedule.Load {
 	ctx, cancel := context.WithTimeout(ctx, loadsTimeout)
 	defer cancel()
 	found := map[string]*schedule.Load{}
-	for _, m := range h.ownedLoads() {
+	for _, m := range h.ownedLoads(fleetToken) {
 		found[m.GetPool()] = loadFromProto(m)
 	}
 	replies := make(chan *wire.LoadReply)
 	owners := h.poolOwners(ctx, config)
 	for _, address := range owners {
 		go func() {
-			reply, err := h.peers.Load(ctx, address, &wire.LoadRequest{})
+			reply, err := h.peers.Load(ctx, address, &wire.LoadRequest{FleetToken: fleetToken})
 			if err != nil {
 				h.directory.invalidate()
 				h.events.Event("peer-silent", "peer", address, "call", "load", "error", err)
--- a/internal/jobhost/partition.go
+++ b/internal/jobhost/partition.go
@@ -202,6 +202,7 @@
 		host: p.host, wake: make(chan struct{}, 1), signalRecorder: p.recorder.signal, onFenced: p.onFenced, leaseClients: map[worker.ID]*leaseClient{},
 		pool: schedule.New(pool, worker.FencingToken(p.token), p.host.limits(), p.host.now(), p.host.events, schedule.WithReports(p.host.reports)),
 	}
+	r.setOrganisations(p.host.config())
 	p.pools[pool] = r
 	return r
 }
@@ -226,6 +227,7 @@
 		p.pools[pool.Name].pool.SetChecksCapacity(pool.ChecksCapacity)
 	}
 	for name, runner := range p.pools {
+		runner.setOrganisations(config)
 		runner.pool.SetHosts(p.host.hosts.inPool(name), now)
 		runner.signal()
 	}
--- a/internal/jobhost/peer_handler.go
+++ b/internal/jobhost/peer_handler.go
@@ -124,8 +124,8 @@
 }
 
 // Load returns the loads of the pools that this entry host owns.
-func (h peerHandler) Load(context.Context, *wire.LoadRequest) (*wire.LoadReply, error) {
-	return &wire.LoadReply{Pools: h.host.ownedLoads()}, nil
+func (h peerHandler) Load(_ context.Context, request *wire.LoadRequest) (*wire.LoadReply, error) {
+	return &wire.LoadReply{Pools: h.host.ownedLoads(request.GetFleetToken())}, nil
 }
 
 // Restrict sets what hosts may be used for.
@@ -138,8 +138,8 @@
 }
 
 // Allot sets the parts of the organisations' quotas that a pool may use.
-func (h peerHandler) Allot(context.Context, *wire.AllotRequest) (*wire.AllotReply, error) {
-	return &wire.AllotReply{}, nil
+func (h peerHandler) Allot(_ context.Context, request *wire.AllotRequest) (*wire.AllotReply, error) {
+	return &wire.AllotReply{Done: h.host.allotOwned(request)}, nil
 }
 
 // Gone marks a worker as ended.
--- a/internal/jobhost/pool_runner.go
+++ b/internal/jobhost/pool_runner.go
@@ -7,6 +7,7 @@
 
 	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
 	"github.com/hornbeammast/hornbeammast/internal/pause"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/queue"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/verdict"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
@@ -36,6 +37,9 @@
 	pacer schedule.Pacer
 	// started is set once the pool is planned; the partition's lock guards it.
 	started bool
+	// organisationsOf is the configuration whose organisations the pool has; the partition's lock
+	// guards it.
+	organisationsOf *queue.Configuration
 	// recorded is notified after each record of the pool's changes.
 	recorded broadcast
 	// signalRecorder notifies the partition's recorder of changes to be recorded.
