Shares: organisations take turns by their dominant share when a pool is full

Cause: one organisation that sends several times its usual took the room of all others.

Change: within a class and a priority, the organisation with the lowest dominant share of the pool divided by its weight comes first; jobs beyond its weight are excess and come last in their class. Jobs of which nothing has started wait in a queue of their organisation, so that a plan does not walk them. Pool.SetWeights takes the weights of the configuration in force; without organisations, plans are made as before. Which tasks of a candidate can start is found out once it is tried, which takes allocations out of all plans.

--- a/internal/coordination/schedule/bench_test.go
+++ b/internal/coordination/schedule/bench_test.go
@@ -131,3 +131,33 @@
 		})
 	}
 }
+
+// BenchmarkPlanShares plans a full pool in which jobs of organisations wait: few of each, or many of
+// one beside some of others.
+func BenchmarkPlanShares(b *testing.B) {
+	for _, size := range []struct{ hosts, organisations, waiting, hot int }{{30, 20, 100, 0}, {250, 200, 1000, 0}, {250, 200, 1000, 5000}, {100, 1, 0, 5000}} {
+		b.Run(fmt.Sprintf("hosts-%d/organisations-%d/waiting-%d/hot-%d", size.hosts, size.organisations, size.waiting, size.hot), func(b *testing.B) {
+			p, now := loadedPool(b, size.hosts, 0)
+			weights := map[string]float64{}
+			for n := range size.organisations {
+				weights[fmt.Sprintf("o%03d", n)] = float64(1 + n%20)
+			}
+			p.SetWeights(weights)
+			for n := range size.waiting + size.hot {
+				organisation := "o000"
+				if n < size.waiting {
+					organisation = fmt.Sprintf("o%03d", n%size.organisations)
+				}
+				p.AddJob(jobs.New(&job.Job{
+					ID: job.ID(fmt.Sprintf("w%015x", n)), Organisation: organisation, Queue: "tiles", Pool: "maps", MaxAttempts: 2, Stretch: 1.6,
+					AcceptedAt: now.Add(time.Duration(n) * time.Millisecond), Steps: []job.Step{testStep(4, 1000+int64(n%5)*100), testStep(4, 1000, 0)},
+				}))
+			}
+			now = now.Add(time.Duration(size.waiting+size.hot) * time.Millisecond)
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Plan(now)
+			}
+		})
+	}
+}
--- a/internal/coordination/schedule/crowd.go
+++ b/internal/coordination/schedule/crowd.go
@@ -18,7 +18,11 @@
 
 // excludes reports whether a step needs at least as much as a recorded demand.
 func (u unplacedDemands) excludes(s *step) bool {
-	needs := s.def.Reserved()
+	return u.excludesDemand(s.def.Reserved())
+}
+
+// excludesDemand reports whether a demand is at least as large as a recorded one.
+func (u unplacedDemands) excludesDemand(needs worker.Resources) bool {
 	for _, r := range u {
 		if r.Fits(needs) {
 			return true
--- a/internal/coordination/schedule/outcome.go
+++ b/internal/coordination/schedule/outcome.go
@@ -134,6 +134,10 @@
 	r.task.runs = append(r.task.runs, r)
 	r.task.lastRun = max(r.task.lastRun, r.number)
 	r.task.step.job.liveRuns++
+	if f := r.task.step.job.share; f != nil {
+		f.used = f.used.Plus(r.needs)
+		p.shares.activate(r.task.step.job)
+	}
 }
 
 // release detaches a run that is certainly not on its host any more.
@@ -150,6 +154,9 @@
 		}
 	}
 	t.step.job.liveRuns--
+	if f := t.step.job.share; f != nil {
+		f.used = f.used.Minus(r.needs)
+	}
 	if !t.step.job.Ended() {
 		// The job is recorded again, without this placement.
 		p.markDirty(t.step.job)
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -6,41 +6,62 @@
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
 
+// round is one pass over the candidates.
+type round struct {
+	now    time.Time
+	orders *Orders
+	// lowest is the priority of the least urgent job that has runs.
+	lowest   int
+	unplaced unplacedDemands
+	// waiting is set once a candidate could not be placed.
+	waiting bool
+}
+
 // place places the tasks that fit, the most urgent first.
 func (p *Pool) place(now time.Time, orders *Orders) {
-	waiting := false
-	lowest := p.leastUrgentPriority()
-	var unplaced unplacedDemands
+	r := round{now: now, orders: orders, lowest: p.leastUrgentPriority()}
 	p.placeSuspects(now, orders)
-	for _, c := range p.candidates(now) {
-		if c.step.job.NeedsPlacementCheck {
-			if q, ok := p.placementQuery(c.step, now); ok {
-				orders.PlacementQueries = append(orders.PlacementQueries, q)
-			}
-		}
-		switch {
-		case c.step.def.Gang:
-			waiting = !p.placeGang(c, now, orders) || waiting
-		case unplaced.excludes(c.step):
-			waiting = true
-		case !p.placeTasks(c, now, orders):
-			waiting = true
-			unplaced.add(c.step)
-			if c.step.job.Priority < lowest {
-				p.preempt(c, now)
-			}
+	if p.shares != nil {
+		p.shares.placeByShare(p, &r)
+	} else {
+		for _, c := range p.candidates(now) {
+			p.placeCandidate(c, &r)
 		}
 	}
-	if waiting {
+	if r.waiting {
 		p.reportBlocked(now)
 		return
 	}
 	p.startCopies(now, orders)
 }
 
+// placeCandidate places the tasks of a candidate if there is room. It reports whether all could be
+// placed or have no room by what was tried before.
+func (p *Pool) placeCandidate(c candidate, r *round) bool {
+	if c.step.job.NeedsPlacementCheck {
+		if q, ok := p.placementQuery(c.step, r.now); ok {
+			r.orders.PlacementQueries = append(r.orders.PlacementQueries, q)
+		}
+	}
+	switch {
+	case c.step.def.Gang:
+		r.waiting = !p.placeGang(c, r.now, r.orders) || r.waiting
+	case r.unplaced.excludes(c.step):
+		r.waiting = true
+	case !p.placeTasks(c, r.now, r.orders):
+		r.waiting = true
+		r.unplaced.add(c.step)
+		if c.urgency().mayPreempt(r.lowest) {
+			p.preempt(c, r.now)
+		}
+		return false
+	}
+	return true
+}
+
 // placeTasks places a step's tasks one by one and reports whether all could be placed.
 func (p *Pool) placeTasks(c candidate, now time.Time, orders *Orders) bool {
-	for _, t := range c.tasks {
+	for _, t := range c.step.startableTasks(now) {
 		h := p.unreserve(t)
 		if h == nil || !p.allowed(t.step, h, now) {
 			h = p.bestHost(t, now)
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -63,6 +63,10 @@
 	// fenced is set once a host has accepted the fencing token of a later owner.
 	fenced    bool
 	estimates estimates
+	// shares is nil if the configuration has no organisations.
+	shares *fairShares
+	// plans counts the plans by shares, over all configurations.
+	plans int64
 	// blockedAt is when it was last logged that tasks wait for room.
 	blockedAt time.Time
 }
@@ -121,6 +125,9 @@
 	}
 	j.Placements = nil
 	p.inheritCrashes(e, p.tenureStart)
+	if p.shares != nil {
+		p.addToShare(e)
+	}
 }
 
 // CancelJob cancels a job; the cancel must be recorded in the log already.
@@ -228,5 +235,6 @@
 			forgotten = append(forgotten, Forgotten{id, e.Parts()})
 		}
 	}
+	p.forgetShares(forgotten)
 	return forgotten
 }
--- a/internal/coordination/schedule/preempt.go
+++ b/internal/coordination/schedule/preempt.go
@@ -9,7 +9,11 @@
 // number is less urgent.
 func (p *Pool) leastUrgentPriority() int {
 	lowest := 0
-	for _, e := range p.openJobs() {
+	jobs := p.openJobs
+	if p.shares != nil {
+		jobs = p.shares.activeJobs
+	}
+	for _, e := range jobs() {
 		if e.liveRuns > 0 {
 			lowest = max(lowest, e.Priority)
 		}
@@ -18,12 +22,9 @@
 }
 
 // preempt frees capacity for a more urgent step. It stops runs of less urgent jobs that
-// can resume from a checkpoint, on the host where the fewest have to stop. Only long-running
-// steps and those that can still meet their objective preempt.
+// can resume from a checkpoint, on the host where the fewest have to stop. See
+// urgency.mayPreempt for which steps do.
 func (p *Pool) preempt(c candidate, now time.Time) {
-	if c.class > classOnTime {
-		return
-	}
 	var best []*run
 	for _, h := range p.hosts {
 		victims := p.victims(c, h, now)
--- a/internal/coordination/schedule/rank.go
+++ b/internal/coordination/schedule/rank.go
@@ -11,7 +11,6 @@
 // candidate is a step with tasks that may be started now.
 type candidate struct {
 	step  *step
-	tasks []*task
 	class int
 	// objective is when the occurrence should be done.
 	objective time.Time
@@ -33,13 +32,18 @@
 // candidates returns the steps with tasks that could start, the most urgent first.
 func (p *Pool) candidates(now time.Time) []candidate {
 	var found []candidate
-	for _, e := range p.openJobs() {
+	eachCandidate(p.openJobs(), now, func(c candidate) { found = append(found, c) })
+	slices.SortFunc(found, compareCandidates)
+	return found
+}
+
+// eachCandidate calls yield for the steps of open jobs with tasks that could start.
+func eachCandidate(open map[job.ID]*jobEntry, now time.Time, yield func(candidate)) {
+	for _, e := range open {
 		for occurrence := e.firstOpenOccurrence(); occurrence < e.OccurrenceCount() && !now.Before(e.EarliestStart(occurrence)); occurrence++ {
-			found = p.occurrenceCandidates(found, e, occurrence, now)
+			e.occurrenceCandidates(occurrence, now, yield)
 		}
 	}
-	slices.SortFunc(found, compareCandidates)
-	return found
 }
 
 // firstOpenOccurrence returns the first occurrence that is not done, or the last one.
@@ -50,26 +54,33 @@
 	return e.firstOpenHint
 }
 
-func (p *Pool) occurrenceCandidates(found []candidate, e *jobEntry, occurrence int, now time.Time) []candidate {
+func (e *jobEntry) occurrenceCandidates(occurrence int, now time.Time, yield func(candidate)) {
 	state := e.Occurrence(occurrence)
 	if state.Done {
-		return found
+		return
 	}
 	for number := range e.Steps {
 		if state.StepDone(number) || !e.Ready(occurrence, number) {
 			continue
 		}
 		s := e.step(occurrence, number)
-		c := candidate{step: s, tasks: s.startableTasks(now)}
-		if len(c.tasks) == 0 {
+		if !s.hasStartable(now) {
 			continue
 		}
-		c.objective = e.objective(occurrence)
+		c := candidate{step: s, objective: e.objective(occurrence), work: e.workLeft(occurrence)}
 		c.class = e.class(s, c.objective, now)
-		c.work = e.workLeft(occurrence)
-		found = append(found, c)
+		yield(c)
 	}
-	return found
+}
+
+// hasStartable reports whether startableTasks returns any.
+func (s *step) hasStartable(now time.Time) bool {
+	for _, t := range s.tasks {
+		if ok := t.startable(now) && !t.needsTrial(); ok != s.def.Gang {
+			return ok
+		}
+	}
+	return s.def.Gang
 }
 
 // startableTasks returns the tasks to start. Of a gang, it returns all or none.
--- a/internal/coordination/schedule/task.go
+++ b/internal/coordination/schedule/task.go
@@ -22,6 +22,12 @@
 	// firstOpenHint is the occurrence from which firstOpenOccurrence searches; all
 	// before it are done.
 	firstOpenHint int
+	// share is that of the job's organisation, nil if the configuration has none; excess is set if
+	// the job exceeds the organisation's weight.
+	share  *fairShare
+	excess bool
+	// activeSince is the plan in or after which the job left the waiting queue, 0 while it is there.
+	activeSince int64
 	// liveRuns counts the runs attached to hosts, including those being stopped.
 	liveRuns int
 }
@@ -45,6 +51,10 @@
 	gangCheckpoint    string
 	gangCheckpointRun int64
 	placementCheck    *placementCheck
+	// queuedAs is where the step is in the waiting queue, and triedIn the last plan in which it was
+	// taken from there.
+	queuedAs urgency
+	triedIn  int64
 	// worked is set once a run of the step was listed as working.
 	worked bool
 }
--- a/internal/jobhost/partition.go
+++ b/internal/jobhost/partition.go
@@ -11,6 +11,7 @@
 	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/queue"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 	"github.com/hornbeammast/hornbeammast/internal/state/jobs"
 )
@@ -212,7 +213,7 @@
 	if config == nil || !p.loaded.Load() {
 		return
 	}
-	now := p.host.now()
+	now, weights := p.host.now(), weightsOf(config)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for n := range config.Pools {
@@ -226,11 +227,28 @@
 		p.pools[pool.Name].pool.SetChecksCapacity(pool.ChecksCapacity)
 	}
 	for name, runner := range p.pools {
+		runner.pool.SetWeights(weights)
 		runner.pool.SetHosts(p.host.hosts.inPool(name), now)
 		runner.signal()
 	}
 }
 
+// weightsOf returns the weights of the configuration's organisations, nil if it has no list of them.
+func weightsOf(c *queue.Configuration) map[string]float64 {
+	if !c.RequiresKeys {
+		return nil
+	}
+	weights := make(map[string]float64, len(c.Organisations))
+	for n := range c.Organisations {
+		// Of two organisations of one name, the first counts.
+		o := &c.Organisations[n]
+		if _, ok := weights[o.Name]; !ok {
+			weights[o.Name] = o.Weight
+		}
+	}
+	return weights
+}
+
 // sweep periodically removes jobs that ended long ago from the pools and from the log.
 func (p *partition) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
