--- a/internal/coordination/schedule/fair_share_test.go
+++ b/internal/coordination/schedule/fair_share_test.go
@@ -51,19 +51,21 @@
 	}
 }
 
-// TestExcessComesLast lets an organisation of the lowest share submit more than its weight. The jobs
-// beyond it must come after those of others of the same class, and take what these leave.
+// TestExcessComesLast lets the heavier of two organisations submit more than its weight. The jobs
+// beyond it must come after those of the other, of the same class, and take what these leave.
 func TestExcessComesLast(t *testing.T) {
 	h := newHarness(t, "h1")
-	h.pool.SetWeights(map[string]float64{"a": 2, "b": 1000})
+	h.pool.SetWeights(map[string]float64{"a": 2, "b": 1})
+	step := testStep(1, 2000)
+	step.Estimate = time.Minute
 	for n := range 8 {
-		h.addFor("a", job.ID(fmt.Sprintf("a%015d", n)), h.now, testStep(1, 2000))
+		h.addFor("a", job.ID(fmt.Sprintf("a%015d", n)), h.now, step)
 	}
-	for n := range 4 {
-		h.addFor("b", job.ID(fmt.Sprintf("b%015d", n)), h.now, testStep(1, 2000))
+	for n := range 5 {
+		h.addFor("b", job.ID(fmt.Sprintf("b%015d", n)), h.now.Add(-time.Duration(n)*time.Second), step)
 	}
 	starts, _ := h.plan()
-	if diff := cmp.Diff(map[string]int{"a": 4, "b": 4}, h.startedJobs(starts)); diff != "" {
+	if diff := cmp.Diff(map[string]int{"a": 3, "b": 5}, h.startedJobs(starts)); diff != "" {
 		t.Errorf("tasks started of each organisation (-want +got):\n%s", diff)
 	}
 	excess := 0
