--- a/internal/emulator/site/keys_test.go
+++ b/internal/emulator/site/keys_test.go
@@ -103,24 +103,8 @@
 func runKeyDay(t *testing.T, seed uint64) {
 	f := newFixtureOf(t, layout, keyedVersion(1, twoOrganisations), seed, events(t))
 	s := f.site
-	end := time.Now().Add(30 * time.Second)
-	var keys []string
-	f.wait.Go(func() {
-		for version := int64(2); time.Now().Before(end); version++ {
-			organisations := map[string][]string{}
-			for _, organisation := range []string{"one", "two"} {
-				for k := range 4 {
-					if s.chance(0.5) {
-						organisations[organisation] = append(organisations[organisation], fmt.Sprintf("k-%s-%d", organisation, k))
-					}
-				}
-			}
-			if err := s.Configure(keyedVersion(version, organisations)); err != nil {
-				t.Error(err)
-			}
-			time.Sleep(time.Duration(100+6000*s.random()*s.random()) * time.Millisecond)
-		}
-	})
+	end := time.Now().Add(keyDay)
+	f.wait.Go(func() { f.rotateKeys(2, end) })
 	f.wait.Go(func() {
 		for time.Now().Before(end) {
 			// At least half of the entry hosts stay in contact with the log.
@@ -132,22 +116,95 @@
 			}
 		}
 	})
-	for k := range 4 {
-		keys = append(keys, fmt.Sprint("k-one-", k), fmt.Sprint("k-two-", k))
+	f.callWithKeys(end, func() *EntryHost {
+		hosts := s.runningHosts()
+		return hosts[s.randomIndex(len(hosts))]
+	})
+	f.wait.Wait()
+	f.endFaults()
+	f.finish()
+}
+
+// TestRandomWithKeys adds callers with rotating keys to random faults of all kinds. They call entry hosts
+// that have been in contact with the log for the bound, since others may be cut off from peers as well.
+func TestRandomWithKeys(t *testing.T) {
+	for n := range *seeds {
+		seed := *firstSeed + uint64(n)
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				runRandom(t, seed, func(f *fixture) { f.rotateKeys(configuration.Version+1, time.Now().Add(keyDay)) },
+					func(f *fixture) { f.callWithKeys(time.Now().Add(keyDay), f.hostsInContact()) })
+			})
+		})
+	}
+}
+
+// hostsInContact returns a function that returns a random entry host which the log has answered in all
+// calls of the function within the last keyBound, or nil.
+func (f *fixture) hostsInContact() func() *EntryHost {
+	began, lastFault := time.Now(), map[string]time.Time{}
+	return func() *EntryHost {
+		var inContact []*EntryHost
+		for _, h := range f.site.runningHosts() {
+			if fault := f.site.storeFault(h.Name); fault.Refuses || fault.Unresponsive {
+				lastFault[h.Name] = time.Now()
+			}
+			if last, ok := lastFault[h.Name]; time.Since(began) > keyBound && (!ok || time.Since(last) > keyBound) {
+				inContact = append(inContact, h)
+			}
+		}
+		if len(inContact) == 0 {
+			return nil
+		}
+		return inContact[f.site.randomIndex(len(inContact))]
+	}
+}
+
+// keyDay is how long keys are rotated.
+const keyDay = 30 * time.Second
+
+// keysPerOrganisation is the number of keys of which each version has some.
+const keysPerOrganisation = 4
+
+func keyName(organisation string, n int) string { return fmt.Sprint("k-", organisation, "-", n) }
+
+// rotateKeys publishes versions with random keys, some in quick succession.
+func (f *fixture) rotateKeys(version int64, end time.Time) {
+	for ; time.Now().Before(end); version++ {
+		organisations := map[string][]string{}
+		for _, organisation := range []string{"one", "two"} {
+			for n := range keysPerOrganisation {
+				if f.site.chance(0.5) {
+					organisations[organisation] = append(organisations[organisation], keyName(organisation, n))
+				}
+			}
+		}
+		if err := f.site.Configure(keyedVersion(version, organisations)); err != nil {
+			f.t.Error(err)
+		}
+		time.Sleep(time.Duration(100+6000*f.site.random()*f.site.random()) * time.Millisecond)
 	}
-	keys = append(keys, "k-none")
+}
+
+// callWithKeys submits jobs with random keys, one of which never is valid.
+func (f *fixture) callWithKeys(end time.Time, host func() *EntryHost) {
 	for time.Now().Before(end) {
-		hosts := s.runningHosts()
-		h, key := hosts[s.randomIndex(len(hosts))], keys[s.randomIndex(len(keys))]
+		time.Sleep(time.Duration(20+100*f.site.random()) * time.Millisecond)
+		key := "k-none"
+		if n := f.site.randomIndex(2*keysPerOrganisation + 1); n < 2*keysPerOrganisation {
+			key = keyName([]string{"one", "two"}[n%2], n/2)
+		}
+		h := host()
+		if h == nil {
+			continue
+		}
+		f.mu.Lock()
 		f.next++
 		j := &job.Job{ID: JobID(f.next), Spec: "spec", Steps: []job.Step{newStep(1, 500, 300*time.Millisecond)}}
 		f.queue[j.ID] = "tiles"
-		f.wait.Go(func() { _ = s.SubmitWithKey(h, key, "tiles", j) })
-		time.Sleep(time.Duration(20+100*s.random()) * time.Millisecond)
+		f.mu.Unlock()
+		f.wait.Go(func() { _ = f.site.SubmitWithKey(h, key, "tiles", j) })
 	}
-	f.wait.Wait()
-	f.endFaults()
-	f.finish()
 }
 
 // TestLedgerOfKeys checks that the ledger finds what it guards against.
