--- a/internal/emulator/site/ledger.go
+++ b/internal/emulator/site/ledger.go
@@ -24,6 +24,7 @@
 	routes map[string]map[string]bool
 	// gangCheckpoints holds the checkpoint with which the first member of each run was started.
 	gangCheckpoints map[gangKey]string
+	quotas          quotaLedger
 	// Starts and Ends count runs, Moves and Maintained count accepted machine orders.
 	Starts, Ends, Moves, Maintained int
 }
@@ -101,7 +102,7 @@
 }
 
 func newLedger() *Ledger {
-	return &Ledger{jobs: map[job.ID]*submitted{}, cancels: map[job.ID]bool{}, tasks: map[worker.TaskName]*taskHistory{}, orders: map[string]machineOrder{}, routes: map[string]map[string]bool{}, gangCheckpoints: map[gangKey]string{}}
+	return &Ledger{jobs: map[job.ID]*submitted{}, cancels: map[job.ID]bool{}, tasks: map[worker.TaskName]*taskHistory{}, orders: map[string]machineOrder{}, routes: map[string]map[string]bool{}, gangCheckpoints: map[gangKey]string{}, quotas: quotaLedger{peak: map[string]float64{}}}
 }
 
 // Violations returns a message for each violation of a guarantee.
@@ -123,10 +124,11 @@
 	l.violations = append(l.violations, fmt.Sprintf(format, args...))
 }
 
-// configured records where a configuration sends its queues.
+// configured records where a configuration sends its queues, and its quotas.
 func (l *Ledger) configured(c *queue.Configuration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.quotas.configured(c)
 	for n := range c.Queues {
 		q := &c.Queues[n]
 		if l.routes[q.Name] == nil {
--- a/internal/emulator/site/ledger_tasks.go
+++ b/internal/emulator/site/ledger_tasks.go
@@ -35,6 +35,7 @@
 	}
 	l.checkCopy(w, o, s, h)
 	l.checkRequested(w, o, s, late)
+	l.checkQuota(w, o, s, actual, late)
 	if !actual.step.LongRunning && !actual.step.Speculative && len(h.failed) >= s.MaxAttempts {
 		h.startsOverLimit = append(h.startsOverLimit, maps.Clone(h.failed))
 	}
--- a/internal/emulator/site/site_test.go
+++ b/internal/emulator/site/site_test.go
@@ -77,6 +77,8 @@
 	wait      sync.WaitGroup
 	queue     map[job.ID]string
 	mu        sync.Mutex
+	// organisations are those that may own the next jobs.
+	organisations []string
 }
 
 // newFixture starts a site with all entry hosts and waits 4 s of virtual time.
@@ -113,8 +115,12 @@
 	f.next++
 	id := JobID(f.next)
 	f.queue[id] = queueName
+	organisation := ""
+	if len(f.organisations) > 0 {
+		organisation = f.organisations[f.site.randomIndex(len(f.organisations))]
+	}
 	f.mu.Unlock()
-	j := &job.Job{ID: id, Spec: "spec of " + string(id), Steps: steps}
+	j := &job.Job{ID: id, Organisation: organisation, Spec: "spec of " + string(id), Steps: steps}
 	actual := make([]taskBehaviour, len(steps))
 	for n := range steps {
 		actual[n] = taskBehaviour{step: &j.Steps[n], duration: j.Steps[n].Estimate, failShare: 0.01}
