Dump, metrics, log and explain show when a quota keeps tasks waiting

quota-reached is logged at most once a second for each organisation and pool, with the part, what is used, and the age of both and of the contact with the fleet owner. run-start says how long a task waited for a quota. The metrics name the 20 organisations that use most of their quotas. explain adds the lines of the job's organisation, also after the last line of a job that waits still.

--- a/internal/cmd/cmd_explain.go
+++ b/internal/cmd/cmd_explain.go
@@ -105,6 +105,9 @@
 	first, last time.Time
 	hosts       map[string]struct{}
 	pools       map[string]struct{}
+	// organisations holds the job's owner; ended is set if a line tells of the job's end.
+	organisations map[string]struct{}
+	ended         bool
 }
 
 // contextLead is how long before a job's first line context is collected. A change of
@@ -115,13 +118,17 @@
 func newContextFilter(direct []timelineEntry) contextFilter {
 	f := contextFilter{
 		first: direct[0].At.Add(-contextLead), last: direct[len(direct)-1].At, hosts: map[string]struct{}{}, pools: map[string]struct{}{},
+		organisations: map[string]struct{}{},
 	}
 	for _, l := range direct {
+		f.ended = f.ended || slices.Contains(endEvents, l.Event)
 		f.hosts[l.Details["host"]] = struct{}{}
 		f.pools[l.Details["pool"]] = struct{}{}
+		f.organisations[l.Details["organisation"]] = struct{}{}
 	}
 	delete(f.hosts, "")
 	delete(f.pools, "")
+	delete(f.organisations, "")
 	return f
 }
 
@@ -132,10 +139,13 @@
 	"record-delayed", "shutdown-begun", "job-host-started", "lines-left-out",
 }
 
+// endEvents tell of the end of a job, which may otherwise still wait after its last line.
+var endEvents = []string{"job-done", "job-failed", "job-cancelled"}
+
 // includes reports whether a line is about a host or pool of the job, or is an event that
 // may explain why no entry host acted.
 func (f *contextFilter) includes(l *eventline.Line) bool {
-	if l.At.Before(f.first) || l.At.After(f.last) {
+	if l.At.Before(f.first) || (l.At.After(f.last) && (f.ended || l.Event != "quota-reached")) {
 		return false
 	}
 	if slices.Contains(contextEvents, l.Event) {
@@ -145,6 +155,11 @@
 		_, ok := f.hosts[l.Get("host")]
 		return ok
 	}
+	if l.Event == "quota-reached" {
+		_, inPool := f.pools[l.Get("pool")]
+		_, owned := f.organisations[l.Get("organisation")]
+		return inPool && owned
+	}
 	if strings.HasPrefix(l.Event, "pool-") {
 		_, ok := f.pools[l.Get("pool")]
 		return ok
--- a/internal/coordination/schedule/organisation.go
+++ b/internal/coordination/schedule/organisation.go
@@ -1,9 +1,11 @@
 package schedule
 
 import (
+	"maps"
 	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/coordination/quota"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/queue"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
@@ -26,8 +28,13 @@
 	used, pending worker.Resources
 	// demand is used to compute a load.
 	demand worker.Resources
-	// listedAt is when the decider was last told of its use.
-	listedAt time.Time
+	// listedAt is when the decider was last told of its use, allottedAt when it last set the part.
+	listedAt, allottedAt time.Time
+	// blocked counts the tasks that the part kept waiting in the present plan, blockedJob is the job of
+	// the first; waiting is the count of the last plan, reportedAt when it was last logged.
+	blocked, waiting int
+	blockedJob       job.ID
+	reportedAt       time.Time
 }
 
 // organisations are those of a pool's jobs and of the configuration.
@@ -38,15 +45,23 @@
 	// fleetToken is the highest token of a decider that was seen, sequence the number of the last
 	// allotment that was applied under it.
 	fleetToken, sequence int64
+	// heardAt is when the decider last asked for the load.
+	heardAt time.Time
 	// restarting holds the long-running tasks that ran and have no run now. They keep what they had,
 	// so that the decider does not lend it to another pool before they run again.
 	restarting map[*task]struct{}
+	// ran holds the long-running tasks of organisations that a host is known to have run.
+	ran map[*task]struct{}
+	// waitingSince holds when a part first kept tasks waiting that have not been started since.
+	waitingSince map[*task]time.Time
+	// forgottenAt is when tasks were last dropped from these.
+	forgottenAt time.Time
 	// awaited is set while the quotas are not known.
 	awaited bool
 }
 
 func newOrganisations() organisations {
-	return organisations{byName: map[string]*organisation{}, pools: 1, restarting: map[*task]struct{}{}}
+	return organisations{byName: map[string]*organisation{}, pools: 1, restarting: map[*task]struct{}{}, ran: map[*task]struct{}{}, waitingSince: map[*task]time.Time{}}
 }
 
 // get returns an organisation, or nil without a name.
@@ -108,7 +123,7 @@
 
 // Allot sets the parts of organisations' quotas by the decider with a fencing token. It returns false
 // if the pool has seen a later decider or a later allotment, or has another owner than the decider knows.
-func (p *Pool) Allot(fleetToken int64, poolToken worker.FencingToken, sequence int64, parts map[string]float64) bool {
+func (p *Pool) Allot(fleetToken int64, poolToken worker.FencingToken, sequence int64, parts map[string]float64, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := &p.organisations
@@ -122,7 +137,7 @@
 	s.sequence = sequence
 	for name, part := range parts {
 		if o := s.get(name); o != nil {
-			o.part, o.allotted = min(1, max(0, part)), true
+			o.part, o.allotted, o.allottedAt = min(1, max(0, part)), true, now
 		}
 	}
 	return true
@@ -179,8 +194,13 @@
 	}
 	needs := t.step.def.Needs
 	o.used = o.used.Minus(needs)
-	t.hasRun = t.hasRun || !r.startedAt.IsZero() || r.state == stateInherited
-	if t.step.def.LongRunning && t.hasRun && len(t.runs) == 0 && !t.step.job.Ended() {
+	if !t.step.def.LongRunning || t.step.job.Ended() {
+		return
+	}
+	if !r.startedAt.IsZero() || r.state == stateInherited {
+		s.ran[t] = struct{}{}
+	}
+	if _, ok := s.ran[t]; ok && len(t.runs) == 0 {
 		s.restarting[t] = struct{}{}
 		o.pending = o.pending.Plus(needs)
 	}
@@ -195,8 +215,9 @@
 	for _, o := range p.organisations.byName {
 		o.pending = worker.Resources{}
 	}
+	p.organisations.forgetTasks(now)
 	for t := range p.organisations.restarting {
-		if t.step.job.Ended() || t.done() {
+		if t.over() {
 			delete(p.organisations.restarting, t)
 			continue
 		}
@@ -211,6 +232,19 @@
 	}
 }
 
+// forgetTasks drops tasks that need no more runs, at intervals.
+func (s *organisations) forgetTasks(now time.Time) {
+	if now.Sub(s.forgottenAt) < quotaReportInterval {
+		return
+	}
+	s.forgottenAt = now
+	maps.DeleteFunc(s.waitingSince, func(t *task, _ time.Time) bool { return t.over() })
+	maps.DeleteFunc(s.ran, func(t *task, _ struct{}) bool { return t.over() })
+}
+
+// over reports whether the task needs no more runs.
+func (t *task) over() bool { return t.step.job.Ended() || t.done() }
+
 func (p *Pool) countUnanswered(starts unansweredStarts, attached map[runKey]*run, now time.Time) {
 	for key, u := range starts {
 		if _, ok := attached[key]; ok || now.After(u.until) {
--- a/internal/coordination/schedule/organisation_load.go
+++ b/internal/coordination/schedule/organisation_load.go
@@ -14,6 +14,9 @@
 	defer p.mu.Unlock()
 	s := &p.organisations
 	s.see(fleetToken)
+	if fleetToken > 0 && fleetToken == s.fleetToken {
+		s.heardAt = now
+	}
 	load := p.load(now)
 	for name, use := range load.Organisations {
 		o := s.byName[name]
--- a/internal/coordination/schedule/organisation_test.go
+++ b/internal/coordination/schedule/organisation_test.go
@@ -29,7 +29,7 @@
 }
 
 func (h *harness) allot(sequence int64, part float64) bool {
-	return h.pool.Allot(1, h.pool.token, sequence, map[string]float64{"blue": part})
+	return h.pool.Allot(1, h.pool.token, sequence, map[string]float64{"blue": part}, h.now)
 }
 
 func (h *harness) addOf(organisation string, id job.ID, steps ...job.Step) {
@@ -127,13 +127,13 @@
 	h := newLimited(t, "h1")
 	parts := func(part float64) map[string]float64 { return map[string]float64{"blue": part} }
 	got := map[string]bool{
-		"overtaken":     h.pool.Allot(1, 7, 1, parts(0.9)),
-		"earlier owner": h.pool.Allot(1, 6, 2, parts(0.9)),
-		"next":          h.pool.Allot(1, 7, 2, parts(0.5)),
+		"overtaken":     h.pool.Allot(1, 7, 1, parts(0.9), h.now),
+		"earlier owner": h.pool.Allot(1, 6, 2, parts(0.9), h.now),
+		"next":          h.pool.Allot(1, 7, 2, parts(0.5), h.now),
 	}
 	h.pool.FleetLoad(3, h.now)
-	got["earlier decider"] = h.pool.Allot(2, 7, 3, parts(0.9))
-	got["later decider"] = h.pool.Allot(3, 7, 1, parts(0.6))
+	got["earlier decider"] = h.pool.Allot(2, 7, 3, parts(0.9), h.now)
+	got["later decider"] = h.pool.Allot(3, 7, 1, parts(0.6), h.now)
 	want := map[string]bool{"overtaken": false, "earlier owner": false, "next": true, "earlier decider": false, "later decider": true}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("allotments that were applied (-want +got):\n%s", diff)
@@ -221,3 +221,36 @@
 		t.Errorf("listed (-want +got):\n%s", diff)
 	}
 }
+
+// quotaEvents keeps the lines about quotas and the starts that waited for one.
+type quotaEvents struct{ reached, waited int }
+
+func (e *quotaEvents) Event(name string, pairs ...any) {
+	switch {
+	case name == "quota-reached":
+		e.reached++
+	case name == "run-start" && slices.Contains(pairs, any("waited-for-quota")):
+		e.waited++
+	}
+}
+
+// TestQuotaReportsAreBounded guards against a line for each plan, and against starts that don't say
+// what they waited for.
+func TestQuotaReportsAreBounded(t *testing.T) {
+	h, events := newLimited(t, "h1"), &quotaEvents{}
+	h.pool.events = events
+	h.addOf("blue", idA, testStep(9, 1000))
+	for range 20 {
+		starts, _ := h.plan()
+		h.accept(starts...)
+		h.advance(100 * time.Millisecond)
+	}
+	if dump := h.pool.Dump(h.now).Organisations; len(dump) != 1 || dump[0].Waiting != 5 || dump[0].Running.CPU != 4000 {
+		t.Errorf("dump: %+v", dump)
+	}
+	h.limit(9000, 1)
+	h.plan()
+	if diff := cmp.Diff(quotaEvents{reached: 2, waited: 5}, *events, cmp.AllowUnexported(quotaEvents{})); diff != "" {
+		t.Errorf("lines within 2 s (-want +got):\n%s", diff)
+	}
+}
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -19,7 +19,7 @@
 			}
 		}
 		switch {
-		case c.step.def.Gang && !p.admits(c.step, c.tasks...):
+		case c.step.def.Gang && c.step.job.organisation != nil && !p.admitsNow(c.step, now, c.tasks...):
 			// The quota keeps it waiting, not the lack of room.
 		case c.step.def.Gang:
 			waiting = !p.placeGang(c, now, orders) || waiting
@@ -33,6 +33,7 @@
 			}
 		}
 	}
+	p.reportQuotas(now)
 	if waiting {
 		p.reportBlocked(now)
 		return
@@ -44,7 +45,7 @@
 // quota admits.
 func (p *Pool) placeTasks(c candidate, now time.Time, orders *Orders) bool {
 	for _, t := range c.tasks {
-		if !p.admits(c.step, t) {
+		if c.step.job.organisation != nil && !p.admitsNow(c.step, now, t) {
 			continue
 		}
 		h := p.unreserve(t)
--- a/internal/coordination/schedule/start.go
+++ b/internal/coordination/schedule/start.go
@@ -41,9 +41,16 @@
 	h.lastStart = now
 	h.unanswered.add(r.key(), now)
 	order.Ticket, order.LeaseEnd = ticket, h.nextLease(now, p.startLease(r))
-	p.events.Event("run-start", "task", r.name, "run", r.number, "host", id, "fence", int64(p.token),
+	pairs := []any{
+		"task", r.name, "run", r.number, "host", id, "fence", int64(p.token),
 		"waited", now.Sub(e.AcceptedAt), "left-to-objective", e.objective(r.name.Occurrence).Sub(now),
-		"queued", queued, "other-runs", len(r.task.runs)-1, "heard", now.Sub(h.heardAt), "checkpoint", r.checkpoint)
+		"queued", queued, "other-runs", len(r.task.runs) - 1, "heard", now.Sub(h.heardAt), "checkpoint", r.checkpoint,
+	}
+	if since, ok := p.organisations.waitingSince[r.task]; ok {
+		delete(p.organisations.waitingSince, r.task)
+		pairs = append(pairs, "organisation", e.Organisation, "waited-for-quota", now.Sub(since))
+	}
+	p.events.Event("run-start", pairs...)
 	return order, true
 }
 
--- a/internal/coordination/schedule/suspects.go
+++ b/internal/coordination/schedule/suspects.go
@@ -107,7 +107,7 @@
 				orders.PlacementQueries = append(orders.PlacementQueries, q)
 			}
 		}
-		if !p.admits(t.step, t) {
+		if !p.admitsNow(t.step, now, t) {
 			continue
 		}
 		p.unreserve(t)
--- a/internal/coordination/schedule/task.go
+++ b/internal/coordination/schedule/task.go
@@ -74,8 +74,6 @@
 	lapsedRuns int
 	// downSince is when the last run of a long-running task was released.
 	downSince time.Time
-	// hasRun is set once a host is known to have run the task, if the job has an organisation.
-	hasRun bool
 }
 
 // runState is what the owner knows of a run.
--- a/internal/jobhost/dump.go
+++ b/internal/jobhost/dump.go
@@ -44,6 +44,9 @@
 	if config := h.config(); config != nil {
 		m["config-version"] = config.Version
 	}
+	if rows := h.organisationMetrics(); len(rows) > 0 {
+		m["organisations"] = rows
+	}
 	return m
 }
 
--- a/internal/jobhost/fleet_quotas.go
+++ b/internal/jobhost/fleet_quotas.go
@@ -119,7 +119,7 @@
 	for _, o := range request.GetOrganisations() {
 		parts[o.GetName()] = o.GetPart()
 	}
-	if !r.pool.Allot(request.GetFleetToken(), worker.FencingToken(request.GetPoolToken()), request.GetSequence(), parts) {
+	if !r.pool.Allot(request.GetFleetToken(), worker.FencingToken(request.GetPoolToken()), request.GetSequence(), parts, h.now()) {
 		return false
 	}
 	r.signal()
--- a/internal/jobhost/fleet_quotas_test.go
+++ b/internal/jobhost/fleet_quotas_test.go
@@ -1,11 +1,13 @@
 package jobhost
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/queue"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
@@ -56,3 +58,16 @@
 		t.Errorf("load after an allotment (-want +got):\n%s", diff)
 	}
 }
+
+// TestMetricsNameTheLargestOrganisations guards against metrics that grow with the organisations.
+func TestMetricsNameTheLargestOrganisations(t *testing.T) {
+	all := map[string]*OrganisationMetrics{}
+	for n := range 25 {
+		used := worker.Resources{CPU: int64(1 + n)}
+		addOrganisation(all, "maps", schedule.OrganisationDump{Name: fmt.Sprint("o", n), Running: used, Used: float64(n), Waiting: 1})
+	}
+	rows := largestOrganisations(all)
+	if last := rows[len(rows)-1]; len(rows) != 21 || rows[0].Organisation != "o24" || last.CPU != 15 || last.Waiting != 5 {
+		t.Errorf("%d rows, first %+v, last %+v; want 21, the largest first and the sum of five last", len(rows), rows[0], last)
+	}
+}
