--- a/internal/coordination/quota/divider.go
+++ b/internal/coordination/quota/divider.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -11,13 +10,20 @@
 	token    int64
 	sequence int64
 	division int
-	pools    map[string]*pool
+	// pools holds the pools by name, in the order in which they first answered; usages holds for each
+	// organisation its use of them in the same order, which makes divisions cheap.
+	pools  []*pool
+	names  []string
+	index  map[string]int
+	usages map[string][]usage
 	// superseded is set once a pool has seen a later decider.
 	superseded bool
 }
 
 // New creates the Divider of a tenure with its fencing token.
-func New(token int64) *Divider { return &Divider{token: token, pools: map[string]*pool{}} }
+func New(token int64) *Divider {
+	return &Divider{token: token, index: map[string]int{}, usages: map[string][]usage{}}
+}
 
 // Superseded reports whether a pool has seen a later decider. Nothing is sent from then on.
 func (d *Divider) Superseded() bool { return d.superseded }
@@ -35,19 +41,13 @@
 		return nil
 	}
 	oldest, complete := d.oldestAnswer(configured)
-	names := make([]string, 0, len(d.pools))
-	for name := range d.pools {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	s := &share{now: now, floor: floor, raises: complete, pools: make([]member, len(names))}
-	for n, name := range names {
-		p := d.pools[name]
+	s := &share{now: now, floor: floor, raises: complete, pools: make([]member, len(d.pools))}
+	for n, p := range d.pools {
 		s.pools[n] = member{pool: p, answers: p.answered == d.division, mayRise: complete && p.ownerSince <= oldest}
 	}
-	changes := make([]map[string]float64, len(names))
+	changes := make([]map[string]float64, len(d.pools))
 	for _, organisation := range organisations {
-		if !s.load(organisation) {
+		if !s.load(organisation, d.usage(organisation)) {
 			continue
 		}
 		s.divide()
@@ -60,18 +60,18 @@
 			}
 		}
 	}
-	return d.allotments(names, changes)
+	return d.allotments(changes)
 }
 
-func (d *Divider) allotments(names []string, changes []map[string]float64) []Allotment {
+func (d *Divider) allotments(changes []map[string]float64) []Allotment {
 	var all []Allotment
 	for n, parts := range changes {
 		if parts == nil {
 			continue
 		}
 		d.sequence++
-		p := d.pools[names[n]]
-		a := Allotment{Pool: names[n], PoolToken: p.token, Sequence: d.sequence, Parts: parts}
+		p := d.pools[n]
+		a := Allotment{Pool: d.names[n], PoolToken: p.token, Sequence: d.sequence, Parts: parts}
 		p.sent(a)
 		all = append(all, a)
 	}
@@ -87,35 +87,56 @@
 		d.superseded = true
 		return
 	}
-	p, ok := d.pools[name]
+	n, ok := d.index[name]
 	if !ok {
-		p = &pool{}
+		n = len(d.pools)
+		d.index[name], d.pools, d.names = n, append(d.pools, &pool{}), append(d.names, name)
+	}
+	p := d.pools[n]
+	if !p.answer(r, d.division) {
+		return
 	}
-	if p.apply(r, d.division, floor, now) {
-		d.pools[name] = p
+	at := func(organisation string) *usage { return d.usage(organisation)[n].under(p.token, floor, now) }
+	for organisation, use := range r.Organisations {
+		at(organisation).update(use, now)
+	}
+	// The parts hold for the organisations that are not listed; of earlier allotments it is not known
+	// whether they were applied.
+	for _, a := range p.confirmed() {
+		for organisation, part := range a.Parts {
+			if _, listed := r.Organisations[organisation]; listed {
+				continue
+			}
+			if u := at(organisation); a.Sequence == p.sequence && !a.merged {
+				u.Part = part
+			} else {
+				u.Part = max(u.Part, part)
+			}
+		}
 	}
 }
 
+// usage returns the use of all pools by an organisation.
+func (d *Divider) usage(organisation string) []usage {
+	all := d.usages[organisation]
+	if len(all) < len(d.pools) {
+		all = append(all, make([]usage, len(d.pools)-len(all))...)
+		d.usages[organisation] = all
+	}
+	return all
+}
+
 // oldestAnswer returns the division in which the pool that has been silent for longest answered
 // last. It is not complete if a pool has not answered this decider at all: a former decider may
 // have lent it any part.
 func (d *Divider) oldestAnswer(configured []string) (division int, complete bool) {
 	oldest := math.MaxInt
 	for _, name := range configured {
-		p, ok := d.pools[name]
+		n, ok := d.index[name]
 		if !ok {
 			return 0, false
 		}
-		oldest = min(oldest, p.answered)
+		oldest = min(oldest, d.pools[n].answered)
 	}
 	return oldest, true
 }
-
-// Held returns the sum over all pools of what they may have or use of an organisation's quota.
-func (d *Divider) Held(organisation string, pools int) float64 {
-	sum := 0.0
-	for _, p := range d.pools {
-		sum += max(p.held(organisation, p.use(organisation, Floor(pools))), Floor(pools))
-	}
-	return sum
-}
--- a/internal/coordination/quota/pool.go
+++ b/internal/coordination/quota/pool.go
@@ -16,19 +16,7 @@
 	// ownerSince is the division in which the owner first answered, answered the last one.
 	ownerSince, answered int
 	// unconfirmed holds the allotments that were sent and may still be applied, the oldest first.
-	unconfirmed   []sentAllotment
-	organisations map[string]*organisation
-	// floor is the part of organisations that are not in the map.
-	floor float64
-}
-
-// organisation is how an organisation uses a pool, by the last report.
-type organisation struct {
-	Use
-	// risenAt is when the use last rose, or the pool last had all that it wants.
-	risenAt time.Time
-	// listedAt is when a report last listed the organisation.
-	listedAt time.Time
+	unconfirmed []sentAllotment
 }
 
 // sentAllotment is an allotment that was sent; merged if it stands for several.
@@ -37,86 +25,71 @@
 	merged bool
 }
 
-// apply takes over a report. It returns false if the report is from an earlier owner.
-func (p *pool) apply(r *Report, division int, floor float64, now time.Time) bool {
-	if r.Token < p.token {
-		return false
-	}
-	if r.Token > p.token {
-		p.token, p.ownerSince, p.unconfirmed, p.organisations = r.Token, division, nil, map[string]*organisation{}
-	}
-	p.floor = floor
-	p.answered, p.sequence = division, r.Sequence
-	for name, use := range r.Organisations {
-		p.organisation(name, now).update(use, now)
-	}
-	p.confirm(r.Sequence, r.Organisations, now)
-	for name, o := range p.organisations {
-		if _, ok := r.Organisations[name]; ok {
-			continue
-		}
-		if now.Sub(o.listedAt) < listRetention {
-			continue
-		}
-		o.Use = Use{Part: o.Part}
-		if o.Part == floor {
-			delete(p.organisations, name)
-		}
+// usage is how an organisation uses a pool, by the last report.
+type usage struct {
+	Use
+	// owner is the token of the pool's owner that this is of; under another one, the pool has the
+	// floor, and the organisation neither uses nor wants anything.
+	owner int64
+	// risenAt is when the use last rose, or the pool last had all that it wants; listedAt is when a
+	// report last listed the organisation.
+	risenAt, listedAt time.Time
+}
+
+// under returns the usage for the owner of a pool.
+func (u *usage) under(owner int64, floor float64, now time.Time) *usage {
+	if u.owner != owner {
+		*u = usage{Use: Use{Part: floor}, owner: owner, risenAt: now}
 	}
-	return true
+	return u
 }
 
-// confirm drops the allotments up to the one that was applied last. Their parts hold for the
-// organisations that are not listed; of earlier ones it is not known whether they were applied.
-func (p *pool) confirm(sequence int64, listed map[string]Use, now time.Time) {
-	for len(p.unconfirmed) > 0 && p.unconfirmed[0].Sequence <= sequence {
-		a := p.unconfirmed[0]
-		p.unconfirmed = p.unconfirmed[1:]
-		for name, part := range a.Parts {
-			if _, ok := listed[name]; ok {
-				continue
-			}
-			if o := p.organisation(name, now); a.Sequence == sequence && !a.merged {
-				o.Part = part
-			} else {
-				o.Part = max(o.Part, part)
-			}
-		}
+func (u *usage) update(use Use, now time.Time) {
+	use.Wanted = max(use.Wanted, use.Used)
+	if use.Used > u.Used+tolerance || use.Wanted <= use.Part {
+		u.risenAt = now
 	}
+	u.Use, u.listedAt = use, now
 }
 
-func (p *pool) organisation(name string, now time.Time) *organisation {
-	o, ok := p.organisations[name]
-	if !ok {
-		o = &organisation{Use: Use{Part: p.floor}, risenAt: now}
-		p.organisations[name] = o
+// expire ends the use of an organisation that has not been listed for long.
+func (u *usage) expire(now time.Time) {
+	if (u.Used > 0 || u.Wanted > 0) && now.Sub(u.listedAt) >= listRetention {
+		u.Use = Use{Part: u.Part}
 	}
-	return o
 }
 
-func (o *organisation) update(use Use, now time.Time) {
-	use.Wanted = max(use.Wanted, use.Used)
-	if use.Used > o.Used+tolerance || use.Wanted <= use.Part {
-		o.risenAt = now
+// answer takes over what a report says of the pool. It returns false if the report is from an earlier
+// owner.
+func (p *pool) answer(r *Report, division int) bool {
+	if r.Token < p.token {
+		return false
+	}
+	if r.Token > p.token {
+		p.token, p.ownerSince, p.unconfirmed = r.Token, division, nil
 	}
-	o.Use, o.listedAt = use, now
+	p.answered, p.sequence = division, r.Sequence
+	return true
 }
 
-// use returns the last reported use of an organisation.
-func (p *pool) use(name string, floor float64) Use {
-	if o, ok := p.organisations[name]; ok {
-		return o.Use
+// confirmed removes and returns the allotments up to the one that was applied last.
+func (p *pool) confirmed() []sentAllotment {
+	n := 0
+	for n < len(p.unconfirmed) && p.unconfirmed[n].Sequence <= p.sequence {
+		n++
 	}
-	return Use{Part: floor}
+	done := p.unconfirmed[:n]
+	p.unconfirmed = p.unconfirmed[n:]
+	return done
 }
 
-// held returns the largest part that the pool may have or use now.
-func (p *pool) held(name string, use Use) float64 {
-	held := max(use.Part, use.Used)
+// unconfirmedPart returns the largest part that was sent and may still be applied.
+func (p *pool) unconfirmedPart(name string) float64 {
+	part := 0.0
 	for n := range p.unconfirmed {
-		held = max(held, p.unconfirmed[n].Parts[name])
+		part = max(part, p.unconfirmed[n].Parts[name])
 	}
-	return held
+	return part
 }
 
 // lastSent returns the last part that was sent and not confirmed.
--- a/internal/coordination/quota/share.go
+++ b/internal/coordination/quota/share.go
@@ -30,6 +30,8 @@
 	pools  []member
 	// free is what no pool has.
 	free float64
+	// raised is reused by level.
+	raised []levelled
 }
 
 // member is a pool in the division of one quota.
@@ -49,18 +51,22 @@
 
 // load prepares the division for an organisation. It returns false if no pool uses or wants any of
 // its quota.
-func (s *share) load(organisation string) bool {
+func (s *share) load(organisation string, uses []usage) bool {
 	active := false
 	s.free = 1
 	for n := range s.pools {
 		m := &s.pools[n]
-		m.Use, m.risenAt = Use{Part: s.floor}, s.now
-		if o, ok := m.pool.organisations[organisation]; ok {
-			m.Use, m.risenAt = o.Use, o.risenAt
+		u := uses[n].under(m.pool.token, s.floor, s.now)
+		if m.answers {
+			u.expire(s.now)
+		}
+		m.Use, m.risenAt = u.Use, u.risenAt
+		m.held, m.unsettled = max(u.Part, u.Used, s.floor), false
+		if len(m.pool.unconfirmed) > 0 {
+			m.held = max(m.held, m.pool.unconfirmedPart(organisation))
+			last, sent := m.pool.lastSent(organisation)
+			m.unsettled = sent && last != m.Part
 		}
-		m.held = max(m.pool.held(organisation, m.Use), s.floor)
-		last, sent := m.pool.lastSent(organisation)
-		m.unsettled = sent && last != m.Part
 		m.target, m.next, m.changed = 0, m.Part, false
 		s.free -= m.held
 		active = active || m.Used > 0 || m.Wanted > 0
@@ -136,14 +142,23 @@
 
 // level lowers the targets to a common level so that their sum is the budget.
 func (s *share) level(budget float64) {
+	s.raised = s.raised[:0]
+	for n := range s.pools {
+		m := &s.pools[n]
+		switch base := s.base(m); {
+		case !m.answers:
+		case m.target > s.floor:
+			s.raised = append(s.raised, levelled{m, base})
+		default:
+			budget -= s.floor
+		}
+	}
 	low, high := 0.0, 1.0
 	for range levelSteps {
 		middle := (low + high) / 2
 		sum := 0.0
-		for n := range s.pools {
-			if m := &s.pools[n]; m.answers {
-				sum += max(s.base(m), min(m.target, middle))
-			}
+		for _, r := range s.raised {
+			sum += max(r.base, min(r.target, middle))
 		}
 		if sum > budget {
 			high = middle
@@ -151,13 +166,17 @@
 			low = middle
 		}
 	}
-	for n := range s.pools {
-		if m := &s.pools[n]; m.answers {
-			m.target = max(s.base(m), min(m.target, low))
-		}
+	for _, r := range s.raised {
+		r.target = max(r.base, min(r.target, low))
 	}
 }
 
+// levelled is a pool that should have more than the floor, and what it should keep.
+type levelled struct {
+	*member
+	base float64
+}
+
 // levelSteps is the number of halvings in the search for a level: more than a float64 distinguishes.
 const levelSteps = 50
 
