--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -28,6 +28,7 @@
 			p.placeCandidate(c, &r)
 		}
 	}
+	p.reportQuotas(now)
 	if r.waiting {
 		p.reportBlocked(now)
 		return
@@ -44,7 +45,7 @@
 		}
 	}
 	switch {
-	case c.step.def.Gang && !p.admits(c.step, c.step.startableTasks(r.now)...):
+	case c.step.def.Gang && c.step.job.organisation != nil && !p.admitsNow(c.step, r.now, c.step.startableTasks(r.now)...):
 		// The quota keeps it waiting, not the lack of room.
 	case c.step.def.Gang:
 		r.waiting = !p.placeGang(c, r.now, r.orders) || r.waiting
@@ -65,7 +66,7 @@
 // quota admits.
 func (p *Pool) placeTasks(c candidate, now time.Time, orders *Orders) bool {
 	for _, t := range c.step.startableTasks(now) {
-		if !p.admits(c.step, t) {
+		if c.step.job.organisation != nil && !p.admitsNow(c.step, now, t) {
 			continue
 		}
 		h := p.unreserve(t)
