Interference: pools learn from the workers' lists and keep found pairs apart

Best-effort tasks were placed wherever memory was left and throttled beside serving tasks that they disturb, with their harmless neighbours. With the new setting "interference" (off, observe, avoid; default off), a pool samples the lists of its workers; with avoid, found pairs lower the score of a host, for best-effort and for serving tasks, and a best-effort run that disturbs moves, with room kept for it, where the other host has idle cores and a quiet tail. Runs that would lose more than a second of work stay; long-running ones move within MaxUnavailable and only for pairs known for 3 s.

The model's effects are now never negative, which tells images apart that are throttled together; speeds are means since the last sample, since a run is throttled several times between two lists. Hosts with serving runs are asked each half second while samples are taken. Room may now be reserved for tasks that are not long-running; HostLoad counts only long-running ones as such.

Taken out one by one, score, moves, relief, MaxUnavailable, lasting gain and saved work each failed a test; idle cores, quiet tail and the intervals between moves did not: these are not guarded by a test.

--- a/internal/cmd/serve_jobs.go
+++ b/internal/cmd/serve_jobs.go
@@ -15,6 +15,7 @@
 
 	"github.com/hornbeammast/hornbeammast/internal/coordination/candidacy"
 	"github.com/hornbeammast/hornbeammast/internal/coordination/capacity"
+	"github.com/hornbeammast/hornbeammast/internal/coordination/interference"
 	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
 	"github.com/hornbeammast/hornbeammast/internal/eventlog"
 	"github.com/hornbeammast/hornbeammast/internal/jobhost"
@@ -179,6 +180,7 @@
 			CheckpointInterval: b.CheckpointInterval.Std(), RemoteDataFactor: b.RemoteDataFactor, NoticeTime: b.NoticeTime.Std(), StopTime: b.StopTime.Std(),
 			ContactTime: b.ContactTime.Std(), ReportInterval: loaded.Platform.ReportInterval.Std(), EndedJobRetention: b.EndedJobRetention.Std(),
 		},
+		PoolOptions: []schedule.Option{schedule.WithInterference(interference.Mode(loaded.Interference))},
 	}
 }
 
--- a/internal/coordination/interference/fit.go
+++ b/internal/coordination/interference/fit.go
@@ -135,13 +135,8 @@
 		information[c] = gram[c][c]
 		gram[c][c] += ridge
 	}
-	inverse := invert(gram)
-	effects := make([]float64, size)
-	for c := range size {
-		for k := range size {
-			effects[c] += inverse[c][k] * right[k]
-		}
-	}
+	effects := nonNegative(gram, right)
+	inverse := invertActive(gram, effects)
 	noise := f.noise(effects, freedom)
 	spread := f.spread(effects, inverse)
 	results := make([]result, size)
--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -23,6 +23,9 @@
 	order := worker.RenewalOrder{Token: p.token, Acknowledged: h.acknowledged, LeaseEnd: h.nextLease(now, p.limits.Lease)}
 	if h.acknowledged == h.received {
 		order.MaxWait = p.limits.RenewalWait
+		if p.neighbours != nil && h.serves() {
+			order.MaxWait = min(order.MaxWait, sampleWait)
+		}
 	}
 	return order, true
 }
@@ -159,12 +162,18 @@
 			r.state, r.startedAt, r.unconfirmed, r.task.step.job.begun = stateRunning, now, false, true
 			p.stopIfSuperseded(r)
 		}
+		if r.speed != row.Percent {
+			r.noteSpeed(now)
+		}
 		r.speed, r.atWork = row.Percent, row.Percent == fullSpeed && (!r.adopted || !sent.Before(formerStops))
 		if r.state == stateStopping && !r.stopAckedAt.IsZero() && now.Sub(r.stopAckedAt) > stopTimeout {
 			r.stopAckedAt = time.Time{}
 		}
 		p.observe(r, row, now)
 	}
+	if p.neighbours != nil {
+		p.sample(h, rows, now)
+	}
 }
 
 // adopt adds a listed run that this owner has no record of, usually one that an earlier
--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -62,6 +62,10 @@
 	leaving bool
 	// pausedUntil is the time until which nothing is started after a refusal.
 	pausedUntil time.Time
+	// sampledAt is when the last list was sampled for interference.
+	sampledAt time.Time
+	// separatedAt is when a run was last moved off the host because it disturbed others.
+	separatedAt time.Time
 	health      health
 	// settledAt is when the host will have reported again after it was unresponsive.
 	settledAt time.Time
--- a/internal/coordination/schedule/load.go
+++ b/internal/coordination/schedule/load.go
@@ -107,9 +107,14 @@
 func (h *host) load(now time.Time) HostLoad {
 	load := HostLoad{
 		Unresponsive: !h.confirmed, LastSeenAge: now.Sub(h.lastSeen()), LastSeen: h.lastSeen(), Use: h.use, Vacant: h.cordoned() && h.vacant(),
-		// Only long-running tasks have room reserved, and they are on their way.
+		// Tasks with room reserved are on their way.
 		// Ended runs count until it is known whether the worker has crashed.
-		Runs: len(h.runs) + len(h.reserved) + len(h.lapsed), LongRunning: len(h.reserved),
+		Runs: len(h.runs) + len(h.reserved) + len(h.lapsed),
+	}
+	for _, t := range h.reserved {
+		if t.step.def.LongRunning {
+			load.LongRunning++
+		}
 	}
 	for _, r := range h.runs {
 		def := r.task.step.def
--- a/internal/coordination/schedule/pace.go
+++ b/internal/coordination/schedule/pace.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
 
@@ -61,11 +62,26 @@
 			continue
 		}
 		serves = true
-		load = max(load, float64(r.usage)/float64(target.Milliseconds()))
+		load = max(load, tailRatio(r.usage, r.task.step.def))
 	}
 	return load, serves
 }
 
+// serves reports whether the host has a serving run with an image, whose figures are sampled.
+func (h *host) serves() bool {
+	for _, r := range h.runs {
+		if servingImage(r.task.step.def) != "" {
+			return true
+		}
+	}
+	return false
+}
+
+// tailRatio returns the ratio of a tail latency in milliseconds to a step's target.
+func tailRatio(usage int64, s *job.Step) float64 {
+	return float64(usage) / float64(s.TailTarget.Milliseconds())
+}
+
 // throttledSpeed returns the next speed of a best-effort run.
 func throttledSpeed(speed int, load float64) int {
 	switch {
@@ -97,5 +113,6 @@
 		r.speedSent = r.speed
 		return
 	}
+	r.noteSpeed(now)
 	r.speed = order.Percent
 }
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -62,6 +62,14 @@
 // bestHost returns the allowed host with the highest score for a task, or nil; the lowest
 // ID wins a tie.
 func (p *Pool) bestHost(t *task, now time.Time) *host {
+	best := p.highestScore(t, now)
+	if best != nil && p.neighbours.avoids() {
+		p.noteChoice(t, best, now)
+	}
+	return best
+}
+
+func (p *Pool) highestScore(t *task, now time.Time) *host {
 	var best *host
 	bestScore := 0.0
 	for _, h := range p.hosts {
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -55,6 +55,12 @@
 	p.clearSuspicions()
 	p.stopUnneeded(now)
 	p.evacuate(now)
+	if p.neighbours != nil {
+		p.updateNeighbours(now)
+		if p.neighbours.avoids() {
+			p.separate(now)
+		}
+	}
 	p.place(now, &orders)
 	p.queryTrials(now, &orders)
 	p.throttle(now, &orders)
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -63,6 +63,8 @@
 	// fenced is set once a host has accepted the fencing token of a later owner.
 	fenced    bool
 	estimates estimates
+	// neighbours is nil unless interference is sampled.
+	neighbours *neighbours
 	// blockedAt is when it was last logged that tasks wait for room.
 	blockedAt time.Time
 }
--- a/internal/coordination/schedule/reservation.go
+++ b/internal/coordination/schedule/reservation.go
@@ -6,11 +6,11 @@
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
 
-// maxReservation is how long room is kept for a long-running task that leaves its host. It
+// maxReservation is how long room is kept for a task that leaves its host. It
 // covers the stop, the record of the end and the next plan.
 const maxReservation = 4 * time.Second
 
-// reservation is room on a host for a long-running task that leaves another one. Without
+// reservation is room on a host for a task that leaves another one. Without
 // it several tasks could be stopped for the same room, and all but one would not run.
 type reservation struct {
 	host  *host
--- a/internal/coordination/schedule/score.go
+++ b/internal/coordination/schedule/score.go
@@ -16,6 +16,10 @@
 	scoreSameRack    = 10
 	scoreUtilisation = 1
 	scoreSpread      = -5
+	// scoreDisturbance is the weight of a rise of the ratio of tail latency to target by one. The
+	// least one that is acted on outweighs utilisation; maxDisturbance keeps all of them below
+	// nearness to the data.
+	scoreDisturbance, maxDisturbance = -12, 1.5
 )
 
 // score returns how well a host suits a task; the highest is best.
@@ -40,6 +44,9 @@
 	if s.def.LongRunning {
 		score += scoreSpread * float64(h.stepRuns(s))
 	}
+	if p.neighbours.avoids() {
+		score += p.scoreDisturbance(t, h)
+	}
 	return score + scoreUtilisation*h.utilisation()
 }
 
--- a/internal/coordination/schedule/stop.go
+++ b/internal/coordination/schedule/stop.go
@@ -68,7 +68,7 @@
 // that has not begun, or a start without an answer that has taken effect after all.
 func (r *run) mayStay() bool {
 	switch r.stopReason {
-	case reasonHostLeaves:
+	case reasonHostLeaves, reasonInterference:
 		return r.stopSentAt.IsZero()
 	case reasonUnanswered:
 		return r.atWork && r.host.confirmed
--- a/internal/coordination/schedule/task.go
+++ b/internal/coordination/schedule/task.go
@@ -70,6 +70,8 @@
 	weakCrashes int
 	// lapsedRuns counts the runs under which a host may have crashed, see host.lapsed.
 	lapsedRuns int
+	// movedAt is when a run of the task was last moved because it disturbed others.
+	movedAt time.Time
 	// downSince is when the last run of a long-running task was released.
 	downSince time.Time
 }
@@ -128,6 +130,10 @@
 	atWork bool
 	// speed is the share of its full speed that the host last reported, in per cent.
 	speed int
+	// fullSpeedTime is how long the run would have taken at full speed for its work since the last
+	// sample of interference, as noted at speedNotedAt.
+	fullSpeedTime time.Duration
+	speedNotedAt  time.Time
 	// usage is the host's last measurement: tail latency or CPU usage, see worker.ActiveRun.
 	usage int64
 	// speedSent is the speed last ordered. The host may list another one while throttling is set,
--- a/internal/jobhost/job_host.go
+++ b/internal/jobhost/job_host.go
@@ -59,6 +59,8 @@
 	Losses    candidacy.Losses
 	Limits    schedule.Limits
 	Capacity  Capacity
+	// PoolOptions configure the pools.
+	PoolOptions []schedule.Option
 }
 
 // JobHost is a running entry host for jobs.
--- a/internal/protocol/settings/job_settings.go
+++ b/internal/protocol/settings/job_settings.go
@@ -25,6 +25,9 @@
 	Platform PlatformSettings `json:"platform"`
 	Bounds   Bounds           `json:"bounds,omitzero"`
 	Process  Process          `json:"process,omitzero"`
+	// Interference is off, observe or avoid: whether owners estimate which best-effort tasks slow
+	// which serving tasks down, and keep them apart.
+	Interference string `json:"interference,omitempty"`
 	// LogLevel is debug, info, warning or error.
 	LogLevel string `json:"log-level,omitempty"`
 	// LogBytesPerSecond bounds the rate of the process's log; lines beyond it are dropped and
@@ -116,11 +119,19 @@
 			RemoteDataFactor: 2, ShutdownGrace: fleet.Duration(6 * time.Second), LostHosts: 2, LostDataCentres: 1,
 		},
 		Process:           Process{CoreShare: 1, CoreSpeed: 1, MemoryMB: 256, MaxDescriptors: 4096},
+		Interference:      InterferenceOff,
 		LogLevel:          "info",
 		LogBytesPerSecond: 256 << 10,
 	}
 }
 
+// The values of JobSettings.Interference.
+const (
+	InterferenceOff     = "off"
+	InterferenceObserve = "observe"
+	InterferenceAvoid   = "avoid"
+)
+
 // IsJobSettings reports whether a settings file is for an entry host for jobs: one with a
 // "platform" key.
 func IsJobSettings(path string) (bool, error) {
@@ -190,6 +201,14 @@
 	if s.Bounds.LostHosts < 0 || s.Bounds.LostDataCentres < 0 {
 		return errors.New("bounds: lost-hosts and lost-data-centres must not be negative")
 	}
+	return s.validateChoices()
+}
+
+// validateChoices returns an error for the first invalid setting of what is done and logged.
+func (s *JobSettings) validateChoices() error {
+	if s.Interference != InterferenceOff && s.Interference != InterferenceObserve && s.Interference != InterferenceAvoid {
+		return errors.Newf("interference %q: use off, observe or avoid", s.Interference)
+	}
 	if s.LogBytesPerSecond < 1 {
 		return errors.New("log-bytes-per-second must be above 0")
 	}
