--- a/internal/cmd/cmd_explain.go
+++ b/internal/cmd/cmd_explain.go
@@ -145,7 +145,7 @@
 		_, ok := f.hosts[l.Get("host")]
 		return ok
 	}
-	if strings.HasPrefix(l.Event, "pool-") {
+	if strings.HasPrefix(l.Event, "pool-") || l.Event == "interference-found" || l.Event == "interference-cleared" {
 		_, ok := f.pools[l.Get("pool")]
 		return ok
 	}
--- a/internal/cmd/cmd_explain_test.go
+++ b/internal/cmd/cmd_explain_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"flag"
 	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -36,6 +38,31 @@
 	}
 }
 
+// TestExplainNamesPairs guards against a job whose move nobody can explain: the lines about a pair
+// name no job.
+func TestExplainNamesPairs(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "gilgit-2.log")
+	log := `time="2026-01-05T00:00:01.000Z" level=info msg=job-taken job=00000000000000ab pool=maps
+time="2026-01-05T00:00:02.000Z" level=info msg=interference-found pool=maps serving=a best-effort=x
+time="2026-01-05T00:00:02.500Z" level=info msg=interference-found pool=other serving=b best-effort=y
+time="2026-01-05T00:00:03.000Z" level=info msg=interference-avoided pool=maps serving=a best-effort=x task=00000000000000ab.0.0.0 moved=true
+`
+	if err := os.WriteFile(path, []byte(log), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out, errOut bytes.Buffer
+	if status := Main([]string{"explain", "00000000000000ab", path}, &out, &errOut); status != exitOK {
+		t.Fatalf("status %d: %s", status, errOut.String())
+	}
+	var events []string
+	for line := range strings.Lines(out.String()) {
+		events = append(events, strings.Fields(line)[2])
+	}
+	if diff := cmp.Diff([]string{"job-taken", "(interference-found)", "interference-avoided"}, events); diff != "" {
+		t.Errorf("events (-want +got):\n%s", diff)
+	}
+}
+
 func TestExplainUnknown(t *testing.T) {
 	var out, errOut bytes.Buffer
 	if status := Main([]string{"explain", "00000000000000ff", "testdata/gilgit-1.log"}, &out, &errOut); status != exitFailed {
--- a/internal/coordination/schedule/dump.go
+++ b/internal/coordination/schedule/dump.go
@@ -16,6 +16,8 @@
 	Fenced bool              `json:"fenced"`
 	Jobs   map[job.State]int `json:"jobs"`
 	Hosts  []HostDump        `json:"hosts"`
+	// Interference is nil unless it is sampled.
+	Interference *InterferenceDump `json:"interference,omitempty"`
 }
 
 // HostDump is the known state of a host, with the time since the host last answered.
@@ -50,6 +52,7 @@
 			FreeCPU: free.CPU, FreeMB: free.MemoryMB,
 		})
 	}
+	d.Interference = p.neighbours.dump(now)
 	slices.SortFunc(d.Hosts, func(a, b HostDump) int { return cmp.Compare(a.ID, b.ID) })
 	return d
 }
--- a/internal/coordination/schedule/neighbours_test.go
+++ b/internal/coordination/schedule/neighbours_test.go
@@ -44,6 +44,9 @@
 			t.Errorf("%s: starts %v beside a on %s; want it apart: %t", image, starts, serving, apart)
 		}
 	}
+	if d := h.pool.Dump(h.now).Interference; d == nil || d.Chosen != 1 || len(d.Pairs) != 1 || !d.Pairs[0].Found {
+		t.Errorf("dump %+v; want the pair and one choice", d)
+	}
 	h.add("only", imageStep("x", true))
 	h.pool.Restrict([]worker.ID{"h1", "h2"}, UseNone, h.now)
 	h.pool.Restrict([]worker.ID{serving}, UseAll, h.now)
--- a/internal/jobhost/dump.go
+++ b/internal/jobhost/dump.go
@@ -44,9 +44,24 @@
 	if config := h.config(); config != nil {
 		m["config-version"] = config.Version
 	}
+	if counters, ok := h.interferenceCounters(); ok {
+		m["interference"] = counters
+	}
 	return m
 }
 
+// interferenceCounters returns the sums over the pools; ok is false unless any samples interference.
+func (h *JobHost) interferenceCounters() (sum schedule.InterferenceCounters, ok bool) {
+	for _, p := range h.ownedPartitions() {
+		for _, r := range p.runners() {
+			if counters, sampled := r.pool.InterferenceCounters(); sampled {
+				sum, ok = sum.Plus(counters), true
+			}
+		}
+	}
+	return sum, ok
+}
+
 // Dump returns the current state.
 func (h *JobHost) Dump() Dump {
 	now := h.now()
