--- a/internal/cmd/cmd_explain.go
+++ b/internal/cmd/cmd_explain.go
@@ -160,7 +160,7 @@
 		_, owned := f.organisations[l.Get("organisation")]
 		return inPool && owned
 	}
-	if strings.HasPrefix(l.Event, "pool-") {
+	if strings.HasPrefix(l.Event, "pool-") || l.Event == "interference-found" || l.Event == "interference-cleared" {
 		_, ok := f.pools[l.Get("pool")]
 		return ok
 	}
--- a/internal/coordination/schedule/dump.go
+++ b/internal/coordination/schedule/dump.go
@@ -18,6 +18,8 @@
 	Hosts  []HostDump        `json:"hosts"`
 	// Organisations are those with a quota, by name.
 	Organisations []OrganisationDump `json:"organisations,omitempty"`
+	// Interference is nil unless it is sampled.
+	Interference *InterferenceDump `json:"interference,omitempty"`
 }
 
 // HostDump is the known state of a host, with the time since the host last answered.
@@ -53,6 +55,7 @@
 		})
 	}
 	d.Organisations = p.dumpOrganisations(now)
+	d.Interference = p.neighbours.dump(now)
 	slices.SortFunc(d.Hosts, func(a, b HostDump) int { return cmp.Compare(a.ID, b.ID) })
 	return d
 }
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -69,6 +69,8 @@
 	shares *fairShares
 	// plans counts the plans by shares, over all configurations.
 	plans int64
+	// neighbours is nil unless interference is sampled.
+	neighbours *neighbours
 	// blockedAt is when it was last logged that tasks wait for room.
 	blockedAt time.Time
 }
--- a/internal/jobhost/dump.go
+++ b/internal/jobhost/dump.go
@@ -47,9 +47,24 @@
 	if rows := h.organisationMetrics(); len(rows) > 0 {
 		m["organisations"] = rows
 	}
+	if counters, ok := h.interferenceCounters(); ok {
+		m["interference"] = counters
+	}
 	return m
 }
 
+// interferenceCounters returns the sums over the pools; ok is false unless any samples interference.
+func (h *JobHost) interferenceCounters() (sum schedule.InterferenceCounters, ok bool) {
+	for _, p := range h.ownedPartitions() {
+		for _, r := range p.runners() {
+			if counters, sampled := r.pool.InterferenceCounters(); sampled {
+				sum, ok = sum.Plus(counters), true
+			}
+		}
+	}
+	return sum, ok
+}
+
 // Dump returns the current state.
 func (h *JobHost) Dump() Dump {
 	now := h.now()
