Owners refuse jobs that could not end while their result has value

Cause: work that can't be done in time was accepted, waited, and took room.

Change: Pool.Admit compares the work that comes before a job, less two standard deviations of the learned estimation error, and the more urgent work that goes on to come, with what the pool has and is getting until the job's last possible start. The owner asks it before anything is stored, and never refuses a job that it has, holds, loads or has in its recorder's queue. Callers get 429 with Retry-After. A refusal after an attempt without an answer leaves the outcome unknown, and a refused job is not appended in another way. The dump, the metrics and bounded log lines (job-rejected, share-waits) say what an organisation has and waits for; explain shows its waits.

--- a/internal/cmd/cmd_explain.go
+++ b/internal/cmd/cmd_explain.go
@@ -105,6 +105,8 @@
 	first, last time.Time
 	hosts       map[string]struct{}
 	pools       map[string]struct{}
+	// organisations holds the job's organisation, if it has one.
+	organisations map[string]struct{}
 }
 
 // contextLead is how long before a job's first line context is collected. A change of
@@ -115,13 +117,16 @@
 func newContextFilter(direct []timelineEntry) contextFilter {
 	f := contextFilter{
 		first: direct[0].At.Add(-contextLead), last: direct[len(direct)-1].At, hosts: map[string]struct{}{}, pools: map[string]struct{}{},
+		organisations: map[string]struct{}{},
 	}
 	for _, l := range direct {
 		f.hosts[l.Details["host"]] = struct{}{}
 		f.pools[l.Details["pool"]] = struct{}{}
+		f.organisations[l.Details["organisation"]] = struct{}{}
 	}
 	delete(f.hosts, "")
 	delete(f.pools, "")
+	delete(f.organisations, "")
 	return f
 }
 
@@ -145,6 +150,11 @@
 		_, ok := f.hosts[l.Get("host")]
 		return ok
 	}
+	if l.Event == "share-waits" {
+		_, pool := f.pools[l.Get("pool")]
+		_, organisation := f.organisations[l.Get("organisation")]
+		return pool && organisation
+	}
 	if strings.HasPrefix(l.Event, "pool-") {
 		_, ok := f.pools[l.Get("pool")]
 		return ok
--- a/internal/cmd/cmd_explain_test.go
+++ b/internal/cmd/cmd_explain_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"flag"
 	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -45,3 +47,25 @@
 		t.Errorf("error %q; want %q", errOut.String(), want)
 	}
 }
+
+// TestExplainShowsTheWaitForAShare guards against a job that waited for its organisation without a line
+// that says so, and against lines of other organisations and pools.
+func TestExplainShowsTheWaitForAShare(t *testing.T) {
+	log := `time="2026-01-05T00:00:01.000Z" level=info msg=job-taken job=00000000000000aa pool=maps organisation=mill
+time="2026-01-05T00:00:02.000Z" level=info msg=share-waits job=00000000000000ab pool=maps organisation=mill served=yard
+time="2026-01-05T00:00:02.100Z" level=info msg=share-waits job=00000000000000ac pool=maps organisation=yard served=mill
+time="2026-01-05T00:00:02.200Z" level=info msg=share-waits job=00000000000000ad pool=archive organisation=mill served=yard
+time="2026-01-05T00:00:03.000Z" level=info msg=job-done job=00000000000000aa pool=maps
+`
+	path := filepath.Join(t.TempDir(), "a.log")
+	if err := os.WriteFile(path, []byte(log), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out, errOut bytes.Buffer
+	if status := Main([]string{"explain", "00000000000000aa", path}, &out, &errOut); status != exitOK {
+		t.Fatalf("status %d: %s", status, errOut.String())
+	}
+	if n := strings.Count(out.String(), "share-waits"); n != 1 || !strings.Contains(out.String(), `served="yard"`) {
+		t.Errorf("%d lines of a wait for the share; want 1:\n%s", n, out.String())
+	}
+}
--- a/internal/coordination/schedule/bench_test.go
+++ b/internal/coordination/schedule/bench_test.go
@@ -161,3 +161,28 @@
 		})
 	}
 }
+
+// BenchmarkAdmit decides on a job of an organisation that has far more waiting than the pool holds. The
+// backlog is counted again as often as it is when jobs come all the time.
+func BenchmarkAdmit(b *testing.B) {
+	for _, waiting := range []int{100, 1000, 5000} {
+		b.Run(fmt.Sprintf("waiting-%d", waiting), func(b *testing.B) {
+			p, now := loadedPool(b, 30, 0)
+			p.SetWeights(map[string]float64{"a": 300})
+			newJob := func(id string) *job.Job {
+				return &job.Job{
+					ID: job.ID(id), Organisation: "a", Queue: "tiles", Pool: "maps", MaxAttempts: 2, Stretch: 1.6, AcceptedAt: now,
+					Steps: []job.Step{testStep(4, 1000), testStep(4, 1000, 0)},
+				}
+			}
+			for n := range waiting {
+				p.AddJob(jobs.New(newJob(fmt.Sprintf("w%015x", n))))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				p.Admit(newJob("ffffffffffffffff"), now)
+			}
+		})
+	}
+}
--- a/internal/coordination/schedule/dump.go
+++ b/internal/coordination/schedule/dump.go
@@ -16,6 +16,8 @@
 	Fenced bool              `json:"fenced"`
 	Jobs   map[job.State]int `json:"jobs"`
 	Hosts  []HostDump        `json:"hosts"`
+	// Shares is empty if the configuration has no organisations.
+	Shares []ShareDump `json:"organisations,omitempty"`
 }
 
 // HostDump is the known state of a host, with the time since the host last answered.
@@ -38,7 +40,7 @@
 func (p *Pool) Dump(now time.Time) PoolDump {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	d := PoolDump{Pool: p.name, Token: int64(p.token), Fenced: p.fenced, Jobs: map[job.State]int{}}
+	d := PoolDump{Pool: p.name, Token: int64(p.token), Fenced: p.fenced, Jobs: map[job.State]int{}, Shares: p.shareDumps()}
 	for _, e := range p.jobs {
 		d.Jobs[e.visibleState()]++
 	}
--- a/internal/coordination/schedule/estimates.go
+++ b/internal/coordination/schedule/estimates.go
@@ -1,16 +1,17 @@
 package schedule
 
 import (
+	"math"
 	"time"
 )
 
 // estimates holds, by queue, how the actual time of tasks compares with the declared one.
 type estimates map[string]*ratio
 
-// ratio is a running mean of the actual time divided by the declared one.
+// ratio is a running mean of the actual time divided by the declared one, with its variance.
 type ratio struct {
-	mean float64
-	runs int
+	mean, variance float64
+	runs           int
 }
 
 const (
@@ -20,6 +21,10 @@
 	minRatio, maxRatio = 0.2, 5.0
 	// minRatioRuns is how many runs it takes before the mean is used.
 	minRatioRuns = 5
+	// minSpreadRuns is how many runs it takes before the deviation is used.
+	minSpreadRuns = 20
+	// spreadFactor is the number of standard deviations that an estimate may be off.
+	spreadFactor = 2
 )
 
 // learn adds the time of a successful run to the mean of its queue.
@@ -35,7 +40,9 @@
 	}
 	r.runs++
 	weight := max(ratioWeight, 1/float64(r.runs))
-	r.mean += weight * (sample - r.mean)
+	off := sample - r.mean
+	r.mean += weight * off
+	r.variance = (1 - weight) * (r.variance + weight*off*off)
 }
 
 // expected returns the expected time of a task with the given declared time.
@@ -46,3 +53,19 @@
 	}
 	return time.Duration(r.mean * float64(declared))
 }
+
+// spread returns the mean and the standard deviation of the ratio of a queue. Before they are known,
+// it returns the least ratio.
+func (e estimates) spread(queue string) (mean, deviation float64) {
+	r, ok := e[queue]
+	if !ok || r.runs < minSpreadRuns {
+		return minRatio, 0
+	}
+	return r.mean, math.Sqrt(r.variance)
+}
+
+// atLeast returns what a task with the given declared time takes at the least.
+func (e estimates) atLeast(queue string, declared time.Duration) time.Duration {
+	mean, deviation := e.spread(queue)
+	return time.Duration(max(minRatio, mean-spreadFactor*deviation) * float64(declared))
+}
--- a/internal/coordination/schedule/excess.go
+++ b/internal/coordination/schedule/excess.go
@@ -69,6 +69,14 @@
 	}
 }
 
+// exceeds reports whether a job that is added now would be marked.
+func (b *bucket) exceeds(accepted time.Time) bool {
+	n, _ := slices.BinarySearchFunc(b.jobs[:b.marked], accepted, func(a acceptance, accepted time.Time) int {
+		return cmp.Or(a.job.AcceptedAt.Compare(accepted), -1)
+	})
+	return n > 0 && b.jobs[n-1].level.After(accepted.Add(b.tolerance))
+}
+
 // forget drops the jobs that are not kept any more. They were accepted so long ago that the bucket
 // is full again for later ones.
 func (b *bucket) forget(kept map[job.ID]*jobEntry, changed func(*jobEntry)) {
--- a/internal/coordination/schedule/fair_share.go
+++ b/internal/coordination/schedule/fair_share.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
@@ -27,8 +28,12 @@
 	// active holds the open jobs that are in no waiting queue.
 	active map[job.ID]*jobEntry
 	// plan is the number of the last plan.
-	plan  int64
-	order minHeap[*fairShare]
+	plan int64
+	// backlog is what waited when it was last needed.
+	backlog backlog
+	order   minHeap[*fairShare]
+	// served is the organisation for which a task was placed last in the present plan, or nil.
+	served *fairShare
 }
 
 // fairShare is what an organisation uses of the pool, and the order of its jobs. Jobs without an
@@ -49,9 +54,16 @@
 	// room for that.
 	least  worker.Resources
 	noRoom bool
+	// waiting is the job that was tried when noRoom was set.
+	waiting job.ID
 	// first is the next candidate in the present plan, and source where it is from.
 	first  candidate
 	source *minHeap[candidate]
+	// rejected counts the jobs that Admit refused, tooLate those that were accepted and ended after
+	// their result had lost its value.
+	rejected, tooLate int64
+	// rejectedAt and waitsAt are when it was last logged that jobs are rejected, and that they wait.
+	rejectedAt, waitsAt time.Time
 }
 
 // SetWeights sets the weights of organisations, in jobs per second. With nil, which stands for a
@@ -100,14 +112,20 @@
 	}
 }
 
-// addToShare counts a job and what it runs for its organisation.
-func (p *Pool) addToShare(e *jobEntry) {
-	f, ok := p.shares.all[e.Organisation]
+// of returns the share of an organisation, which it adds if there is none.
+func (s *fairShares) of(organisation string) *fairShare {
+	f, ok := s.all[organisation]
 	if !ok {
-		f = &fairShare{organisation: e.Organisation, queue: newWaitingQueue(), active: minHeap[candidate]{less: sharesBefore}}
-		f.setWeight(p.shares.weight(e.Organisation))
-		p.shares.all[e.Organisation] = f
+		f = &fairShare{organisation: organisation, queue: newWaitingQueue(), active: minHeap[candidate]{less: sharesBefore}}
+		f.setWeight(s.weight(organisation))
+		s.all[organisation] = f
 	}
+	return f
+}
+
+// addToShare counts a job and what it runs for its organisation.
+func (p *Pool) addToShare(e *jobEntry) {
+	f := p.shares.of(e.Organisation)
 	e.share = f
 	for _, s := range e.steps {
 		for _, t := range s.tasks {
@@ -126,14 +144,15 @@
 	}
 }
 
-// forgetShares drops the jobs that were forgotten, and the organisations without jobs.
+// forgetShares drops the jobs that were forgotten, and the organisations without jobs that the
+// configuration does not have.
 func (p *Pool) forgetShares(forgotten []Forgotten) {
 	if p.shares == nil || len(forgotten) == 0 {
 		return
 	}
 	for name, f := range p.shares.all {
 		f.bucket.forget(p.jobs, f.queue.remarked)
-		if len(f.bucket.jobs) == 0 {
+		if _, configured := p.shares.weights[name]; !configured && len(f.bucket.jobs) == 0 {
 			delete(p.shares.all, name)
 		}
 	}
--- a/internal/coordination/schedule/fair_share_test.go
+++ b/internal/coordination/schedule/fair_share_test.go
@@ -84,16 +84,16 @@
 // serve other jobs first.
 func TestExcessIsTheSameForANewOwner(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
-	type submission struct {
+	type accepted struct {
 		id    job.ID
 		at    time.Time
 		steps job.Step
 	}
-	var all []submission
+	var all []accepted
 	for n := range 200 {
 		step := testStep(1, 1000)
 		step.LongRunning = n%20 == 0
-		all = append(all, submission{job.ID(fmt.Sprintf("%016d", n)), epoch.Add(time.Duration(random.IntN(20_000)) * time.Millisecond), step})
+		all = append(all, accepted{job.ID(fmt.Sprintf("%016d", n)), epoch.Add(time.Duration(random.IntN(20_000)) * time.Millisecond), step})
 	}
 	marks := func(weighedAfter int) map[job.ID]bool {
 		h := newHarness(t, "h1")
--- a/internal/coordination/schedule/outcome.go
+++ b/internal/coordination/schedule/outcome.go
@@ -81,6 +81,9 @@
 	if e.AllDone() {
 		p.events.Event("job-done", "job", e.ID, "pool", p.name, "after", now.Sub(e.AcceptedAt),
 			"objective", e.objectiveSpan(), "tasks-stopped", e.liveRuns)
+		if e.share != nil && e.Occurrences == 0 && now.After(e.valueEnd(0)) {
+			e.share.tooLate++
+		}
 	}
 }
 
--- a/internal/coordination/schedule/share_load_test.go
+++ b/internal/coordination/schedule/share_load_test.go
@@ -38,10 +38,13 @@
 	*harness
 	running map[worker.ID]map[runKey]time.Time
 	hosts   []worker.ID
-	ended   map[worker.ID]int64
-	// refuse decides whether a job is submitted; nil accepts all.
-	refuse func(*job.Job, time.Time) bool
-	served map[string]*service
+	// longer is how much longer the peak lasts.
+	longer time.Duration
+	ended  map[worker.ID]int64
+	// refuse makes the pool decide whether a job is accepted; refused holds those that are not.
+	refuse  bool
+	refused map[job.ID]time.Duration
+	served  map[string]*service
 	// idleWaits counts the plans after which a task waited though a host had room for it.
 	idleWaits int
 }
@@ -66,7 +69,7 @@
 	t.Helper()
 	l := &loadRun{
 		harness: newHarness(t), running: map[worker.ID]map[runKey]time.Time{},
-		ended: map[worker.ID]int64{}, served: map[string]*service{},
+		ended: map[worker.ID]int64{}, served: map[string]*service{}, refused: map[job.ID]time.Duration{},
 	}
 	var reports []worker.Report
 	for n := range loadHosts {
@@ -91,17 +94,17 @@
 // peakRate returns the jobs a second of all organisations at the peak.
 func peakRate() float64 { return peakLoad * loadHosts * coresAHost / workOfAJob }
 
-// arrival is a job to be submitted.
-type arrival struct {
+// submission is a job to be submitted.
+type submission struct {
 	at  time.Duration
 	job *job.Job
 }
 
-// arrivals returns the load of an organisation; hot multiplies its usual rate for a while.
-func arrivals(seed uint64, number int, share, hot float64) []arrival {
+// submissions returns the load of an organisation; hot multiplies its usual rate for a while.
+func submissions(seed uint64, number int, share, hot float64, end time.Duration) []submission {
 	random := rand.New(rand.NewPCG(seed, uint64(number)))
-	var all []arrival
-	for at, n := time.Duration(random.Float64()*float64(time.Second)), 0; at < peakEnd; n++ {
+	var all []submission
+	for at, n := time.Duration(random.Float64()*float64(time.Second)), 0; at < end; n++ {
 		rate := share * peakRate()
 		switch {
 		case at < peakStart:
@@ -126,7 +129,7 @@
 			}
 			j.Steps = append(j.Steps, step)
 		}
-		all = append(all, arrival{at, j})
+		all = append(all, submission{at, j})
 		// Organisations stay within their weight, so their jobs come at nearly even intervals.
 		at += time.Duration((0.95 + 0.1*random.Float64()) / rate * float64(time.Second))
 	}
@@ -136,16 +139,16 @@
 // play submits the load and runs the pool until loadEnd.
 func (l *loadRun) play(seed uint64, hotOrganisation int, hot float64) {
 	l.Helper()
-	var all []arrival
+	var all []submission
 	for n, share := range usualShares() {
 		factor := 1.0
 		if n == hotOrganisation {
 			factor = hot
 		}
-		all = append(all, arrivals(seed, n, share, factor)...)
+		all = append(all, submissions(seed, n, share, factor, peakEnd+l.longer)...)
 	}
-	slices.SortFunc(all, func(a, b arrival) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.job.ID, b.job.ID)) })
-	for ; l.now.Before(epoch.Add(loadEnd)); l.advance(loadTick) {
+	slices.SortFunc(all, func(a, b submission) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.job.ID, b.job.ID)) })
+	for ; l.now.Before(epoch.Add(loadEnd + l.longer)); l.advance(loadTick) {
 		for ; len(all) > 0 && !l.now.Before(epoch.Add(all[0].at)); all = all[1:] {
 			l.submit(all[0].job)
 		}
@@ -156,9 +159,10 @@
 
 func (l *loadRun) submit(j *job.Job) {
 	j.AcceptedAt = l.now
-	if l.refuse != nil && l.refuse(j, l.now) {
+	if retryAfter, ok := l.pool.Admit(j, l.now); l.refuse && !ok {
 		l.of(j.Organisation).jobs++
 		l.of(j.Organisation).refused++
+		l.refused[j.ID] = retryAfter
 		return
 	}
 	l.pool.AddJob(jobs.New(j))
--- a/internal/coordination/schedule/share_place.go
+++ b/internal/coordination/schedule/share_place.go
@@ -38,6 +38,7 @@
 			s.order.pop()
 		}
 	}
+	s.reportWaiting(p, r.now)
 	// The candidates refer to jobs that may be forgotten before the next plan.
 	for _, f := range s.all {
 		f.queue.restore()
@@ -68,6 +69,7 @@
 		f.least = leastOf(f.least, c.step.def.Reserved())
 	})
 	s.order.reset()
+	s.served = nil
 	for _, f := range s.all {
 		f.active.init()
 		if f.next(s, r) {
@@ -104,11 +106,16 @@
 		c.step.triedIn = s.plan
 		f.queue.tried = append(f.queue.tried, c)
 	}
+	before := f.used
 	fits := p.placeCandidate(c, r)
 	f.updateLevel(s.capacity)
+	if f.used != before {
+		s.served = f
+	}
 	if !r.waiting || f.noRoom {
 		return
 	}
+	f.waiting = c.step.job.ID
 	f.noRoom = r.unplaced.excludesDemand(f.least) || (!fits && !p.hasRoom(f.least, r.now))
 }
 
--- a/internal/coordination/schedule/task.go
+++ b/internal/coordination/schedule/task.go
@@ -223,12 +223,13 @@
 	return e.EarliestStart(occurrence).Add(e.objectiveSpan())
 }
 
+// valueEnd returns the time after which the result of an occurrence has no value any more.
+func (e *jobEntry) valueEnd(occurrence int) time.Time {
+	return e.objective(occurrence).Add((lateFactor - 1) * e.objectiveSpan())
+}
+
 // objectiveSpan returns the time that an occurrence has from when it is due: the stretched
 // longest chain of estimates plus the latency target.
 func (e *jobEntry) objectiveSpan() time.Duration {
-	longest := time.Duration(0)
-	for _, c := range e.criticalPaths {
-		longest = max(longest, c)
-	}
-	return time.Duration(e.Stretch*float64(longest)) + e.LatencyTarget
+	return time.Duration(e.Stretch*float64(e.longestPath())) + e.LatencyTarget
 }
--- a/internal/emulator/site/ledger.go
+++ b/internal/emulator/site/ledger.go
@@ -158,6 +158,19 @@
 	l.jobs[id].refused = true
 }
 
+// refusedJobs returns how many jobs were refused.
+func (l *Ledger) refusedJobs() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, j := range l.jobs {
+		if j.refused {
+			n++
+		}
+	}
+	return n
+}
+
 func (l *Ledger) cancelRequested(id job.ID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/jobhost/dump.go
+++ b/internal/jobhost/dump.go
@@ -37,16 +37,35 @@
 	Offset    int64 `json:"offset"`
 }
 
-// Metrics returns the latencies, readiness and configuration version.
+// Metrics returns the latencies, readiness, configuration version and the largest organisations of the
+// pools that the entry host owns.
 func (h *JobHost) Metrics() map[string]any {
 	stands, _ := h.candidacy.stands()
 	m := map[string]any{"latencies": h.metrics.summaries(), "ready": h.Ready(), "stands": stands, "partitions": len(h.ownedPartitions())}
 	if config := h.config(); config != nil {
 		m["config-version"] = config.Version
 	}
+	var pools [][]schedule.ShareDump
+	for _, p := range h.ownedPartitions() {
+		for _, r := range p.runners() {
+			if shares := r.pool.Shares(); len(shares) > 0 {
+				pools = append(pools, shares)
+			}
+		}
+	}
+	if len(pools) > 0 {
+		m["organisations"] = schedule.MergeShares(pools, maxMetricOrganisations, otherOrganisations)
+	}
 	return m
 }
 
+const (
+	// maxMetricOrganisations is the number of organisations that metrics show one by one.
+	maxMetricOrganisations = 20
+	// otherOrganisations is the name under which metrics show the others.
+	otherOrganisations = "(others)"
+)
+
 // Dump returns the current state.
 func (h *JobHost) Dump() Dump {
 	now := h.now()
--- a/internal/jobhost/log_recorder.go
+++ b/internal/jobhost/log_recorder.go
@@ -74,7 +74,7 @@
 // owner can't, this entry host appends it itself, or asks other peers if the log does not
 // answer. It retries until an attempt succeeds, until ctx ends, or for submitRefuseAfter
 // while no attempt may have added the record. Records are keyed and self-contained, so that
-// adding one twice changes nothing.
+// adding one twice changes nothing. A job that the owner rejects is not added in another way.
 func (s *submitter) add(ctx context.Context, partition keyedlog.Partition, record keyedlog.Record) error {
 	mayHaveRun := false
 	began := s.host.now()
@@ -88,6 +88,9 @@
 			return nil
 		}
 		mayHaveRun = mayHaveRun || o.verdict != verdict.NotRun
+		if o.retryAfter > 0 {
+			return rejection(o, mayHaveRun)
+		}
 		if o.refused && !mayHaveRun {
 			return verdict.NotRunError(verdict.CauseTooLarge, message)
 		}
@@ -112,11 +115,11 @@
 		if o.verdict != verdict.NotRun {
 			result.verdict = o.verdict
 		}
-		result.message, result.refused = o.message, o.refused
-		return o.verdict == verdict.Ran || o.refused
+		result.message, result.refused, result.retryAfter = o.message, o.refused, o.retryAfter
+		return o.verdict == verdict.Ran || o.refused || o.retryAfter > 0
 	}
 	if p := s.host.ownedPartition(partition); p != nil {
-		if merge(p.recorder.submit(ctx, record)) {
+		if merge(p.submit(ctx, record)) {
 			return result
 		}
 	} else if address, ok := s.host.directory.ownerOfPartition(ctx, partition); ok {
@@ -219,7 +222,7 @@
 		s.host.directory.markUnresponsive(address)
 		return outcome{verdict: verdict.FromError(err).Verdict, message: err.Error()}
 	}
-	return outcome{verdict: verdict.Verdict(reply.GetVerdict()), message: reply.GetMessage(), refused: reply.GetRefused()}
+	return outcomeOfReply(reply)
 }
 
 // addForPeer adds a record on behalf of a peer.
@@ -228,9 +231,9 @@
 	record := keyedlog.Record{Key: request.GetKey(), Value: request.GetValue()}
 	o := outcome{verdict: verdict.NotRun, message: "this entry host is not in contact with the log"}
 	if p := h.ownedPartition(partition); p != nil {
-		o = p.recorder.submit(ctx, record)
+		o = p.submit(ctx, record)
 	} else if h.inContact() {
 		o = outcomeOf(h.submitter.append(ctx, partition, record))
 	}
-	return &wire.RelayReply{Verdict: string(o.verdict), Message: o.message, Refused: o.refused}
+	return relayReply(o)
 }
--- a/internal/jobhost/partition_records.go
+++ b/internal/jobhost/partition_records.go
@@ -111,8 +111,11 @@
 
 // take adds a new job to its pool. The lock is held.
 func (p *partition) take(state *jobs.Job, sum uint64) {
-	p.host.events.Event("job-taken", "job", state.ID, "pool", state.Pool, "queue", state.Queue, "config", state.ConfigVersion,
-		"age", p.host.now().Sub(state.AcceptedAt))
+	pairs := []any{"job", state.ID, "pool", state.Pool, "queue", state.Queue, "config", state.ConfigVersion, "age", p.host.now().Sub(state.AcceptedAt)}
+	if state.Organisation != "" {
+		pairs = append(pairs, "organisation", state.Organisation)
+	}
+	p.host.events.Event("job-taken", pairs...)
 	p.add(state, sum)
 }
 
--- a/internal/jobhost/recorder.go
+++ b/internal/jobhost/recorder.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -25,7 +26,9 @@
 	mu sync.Mutex
 	// submitted holds the records of callers and peers for the next append.
 	submitted []*submittedRecord
-	closed    bool
+	// taken holds the records that were taken for an append and may not be applied to the partition yet.
+	taken  []*submittedRecord
+	closed bool
 }
 
 // submittedRecord is a record to be written with the next append.
@@ -41,6 +44,8 @@
 	verdict verdict.Verdict
 	message string
 	refused bool
+	// retryAfter is set if the pool's owner rejects the job, which could not end in time.
+	retryAfter time.Duration
 }
 
 var (
@@ -95,13 +100,28 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	taken := r.submitted
-	r.submitted = nil
+	r.submitted, r.taken = nil, taken
 	for _, s := range taken {
 		s.sent = true
 	}
 	return taken
 }
 
+// applied notes that the partition has the records that were taken.
+func (r *recorder) applied() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.taken = nil
+}
+
+// has reports whether a record with a key waits to be applied to the partition.
+func (r *recorder) has(key string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	same := func(s *submittedRecord) bool { return s.record.Key == key }
+	return slices.ContainsFunc(r.submitted, same) || slices.ContainsFunc(r.taken, same)
+}
+
 // close refuses the queued records, and all later ones, at the end of the tenure.
 func (r *recorder) close() {
 	r.mu.Lock()
@@ -185,6 +205,7 @@
 	// both the jobs and their placements; no start is sent before that append succeeds.
 	// Cancels take effect only once they are recorded.
 	r.partition.apply(withPrefix(records, keyJob))
+	r.applied()
 	for _, runner := range r.partition.runners() {
 		runner.planIfDue(ctx)
 		changes, err := runner.pool.TakeUnrecorded()
--- a/internal/protocol/verdict/cause.go
+++ b/internal/protocol/verdict/cause.go
@@ -11,6 +11,7 @@
 	CauseOverloaded     Cause = "overloaded"
 	CauseQueueFull      Cause = "queue-full"
 	CauseTeamQuota      Cause = "team-quota"
+	CauseHopeless       Cause = "hopeless"
 	CauseDeadline       Cause = "deadline"
 	CauseCancelled      Cause = "cancelled"
 	CauseNoHost         Cause = "no-host"
@@ -37,6 +38,7 @@
 	CauseOverloaded:     http.StatusServiceUnavailable,
 	CauseQueueFull:      http.StatusServiceUnavailable,
 	CauseTeamQuota:      http.StatusTooManyRequests,
+	CauseHopeless:       http.StatusTooManyRequests,
 	CauseDeadline:       http.StatusGatewayTimeout,
 	CauseCancelled:      499,
 	CauseNoHost:         http.StatusServiceUnavailable,
--- a/internal/protocol/verdict/verdict.go
+++ b/internal/protocol/verdict/verdict.go
@@ -2,6 +2,8 @@
 package verdict
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -25,6 +27,8 @@
 	Verdict Verdict
 	Cause   Cause
 	Message string
+	// RetryAfter is when the request should be sent again, 0 if that is not known.
+	RetryAfter time.Duration
 }
 
 // Error returns the verdict, the cause and the message.
@@ -42,6 +46,15 @@
 	return New(NotRun, cause, message)
 }
 
+// HopelessError returns an error for a job that did not run because it could not end in time, with
+// when it should be submitted again.
+func HopelessError(message string, retryAfter time.Duration) error {
+	return &Error{Verdict: NotRun, Cause: CauseHopeless, Message: message, RetryAfter: retryAfter}
+}
+
+// RetryAfterSeconds returns RetryAfter in whole seconds, rounded up.
+func (e *Error) RetryAfterSeconds() int { return int((e.RetryAfter + time.Second - 1) / time.Second) }
+
 // MayHaveRunError returns an error for a request whose outcome is unknown: it may have run.
 func MayHaveRunError(cause Cause, message string) error {
 	return New(MayHaveRun, cause, message)
--- a/internal/transport/jobs/server.go
+++ b/internal/transport/jobs/server.go
@@ -125,6 +125,9 @@
 
 func writeError(w http.ResponseWriter, err error) {
 	e := verdict.FromError(err)
+	if e.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(e.RetryAfterSeconds()))
+	}
 	writeProblem(w, e.Cause.Status(), e.Verdict, e.Message)
 }
 
