--- a/internal/cmd/cmd_explain.go
+++ b/internal/cmd/cmd_explain.go
@@ -155,7 +155,7 @@
 		_, ok := f.hosts[l.Get("host")]
 		return ok
 	}
-	if l.Event == "quota-reached" {
+	if l.Event == "quota-reached" || l.Event == "share-waits" {
 		_, inPool := f.pools[l.Get("pool")]
 		_, owned := f.organisations[l.Get("organisation")]
 		return inPool && owned
--- a/internal/jobhost/dump.go
+++ b/internal/jobhost/dump.go
@@ -37,7 +37,8 @@
 	Offset    int64 `json:"offset"`
 }
 
-// Metrics returns the latencies, readiness and configuration version.
+// Metrics returns the latencies, readiness, configuration version and the largest organisations of the
+// pools that the entry host owns.
 func (h *JobHost) Metrics() map[string]any {
 	stands, _ := h.candidacy.stands()
 	m := map[string]any{"latencies": h.metrics.summaries(), "ready": h.Ready(), "stands": stands, "partitions": len(h.ownedPartitions())}
@@ -50,6 +51,9 @@
 	if counters, ok := h.interferenceCounters(); ok {
 		m["interference"] = counters
 	}
+	if shares := h.shareMetrics(); len(shares) > 0 {
+		m["shares"] = shares
+	}
 	return m
 }
 
--- a/internal/jobhost/organisation_metrics.go
+++ b/internal/jobhost/organisation_metrics.go
@@ -76,3 +76,16 @@
 	}
 	return append(rows[:maxOrganisationMetrics:maxOrganisationMetrics], others)
 }
+
+// shareMetrics returns the shares of the pools, added up by organisation.
+func (h *JobHost) shareMetrics() []schedule.ShareDump {
+	var pools [][]schedule.ShareDump
+	for _, p := range h.ownedPartitions() {
+		for _, r := range p.runners() {
+			if shares := r.pool.Shares(); len(shares) > 0 {
+				pools = append(pools, shares)
+			}
+		}
+	}
+	return schedule.MergeShares(pools, maxOrganisationMetrics, otherOrganisations)
+}
--- a/internal/jobhost/recorder.go
+++ b/internal/jobhost/recorder.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -25,7 +26,9 @@
 	mu sync.Mutex
 	// submitted holds the records of callers and peers for the next append.
 	submitted []*submittedRecord
-	closed    bool
+	// taken holds the records that were taken for an append and may not be applied to the partition yet.
+	taken  []*submittedRecord
+	closed bool
 }
 
 // submittedRecord is a record to be written with the next append.
@@ -43,6 +46,8 @@
 	refused bool
 	// otherOrganisation is set if the job belongs to another organisation.
 	otherOrganisation bool
+	// retryAfter is set if the pool's owner rejects the job, which could not end in time.
+	retryAfter time.Duration
 }
 
 var (
@@ -97,13 +102,28 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	taken := r.submitted
-	r.submitted = nil
+	r.submitted, r.taken = nil, taken
 	for _, s := range taken {
 		s.sent = true
 	}
 	return taken
 }
 
+// applied notes that the partition has the records that were taken.
+func (r *recorder) applied() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.taken = nil
+}
+
+// has reports whether a record with a key waits to be applied to the partition.
+func (r *recorder) has(key string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	same := func(s *submittedRecord) bool { return s.record.Key == key }
+	return slices.ContainsFunc(r.submitted, same) || slices.ContainsFunc(r.taken, same)
+}
+
 // close refuses the queued records, and all later ones, at the end of the tenure.
 func (r *recorder) close() {
 	r.mu.Lock()
@@ -179,6 +199,7 @@
 func (r *recorder) record(ctx context.Context) {
 	var batches []poolBatch
 	submitted, records := r.refuseOthers(r.takeSubmitted())
+	r.applied()
 	for _, runner := range r.partition.runners() {
 		runner.planIfDue(ctx)
 		changes, err := runner.pool.TakeUnrecorded()
--- a/internal/jobhost/repeated_jobs.go
+++ b/internal/jobhost/repeated_jobs.go
@@ -20,7 +20,7 @@
 // records both the jobs and their placements; no start is sent before that append succeeds. Cancels
 // take effect only once they are recorded.
 func (r *recorder) refuseOthers(submitted []*submittedRecord) ([]*submittedRecord, []keyedlog.Record) {
-	left, records := submitted[:0], make([]keyedlog.Record, 0, len(submitted))
+	left, records := make([]*submittedRecord, 0, len(submitted)), make([]keyedlog.Record, 0, len(submitted))
 	for _, s := range submitted {
 		if !r.partition.applySubmitted(s.record) {
 			s.done <- otherOrganisation
