What clients make a process hold is bounded by its settings

nbhttp keeps every body until it is whole, a buffer for each small chunk, and a goroutine for each pipelined request; its limits hold for one connection. Servers are now net/http's behind a guarded listener (internal/transport/inbound), which all listeners of a process share: a budget of bytes received and not answered, limits on connections in total and from one address, on headers, on the times of the configuration's limits, and on unread answers. A body over the limit is refused before it is read; an answer before the body leaves the connection usable; ambiguous headers are refused. The runtime's memory limit leaves 24 MB of small machines to what it does not count.

TestEventOfAClosedConnection guards the engine of the clients now, over an nbhttp server that the test makes; TestDisconnected takes the request in place of the writer.

--- a/internal/cmd/serve_jobs.go
+++ b/internal/cmd/serve_jobs.go
@@ -22,7 +22,9 @@
 	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/settings"
 	"github.com/hornbeammast/hornbeammast/internal/transport/httpconn"
+	"github.com/hornbeammast/hornbeammast/internal/transport/inbound"
 	"github.com/hornbeammast/hornbeammast/internal/transport/jobs"
+	"github.com/hornbeammast/hornbeammast/internal/transport/peer"
 	"github.com/hornbeammast/hornbeammast/platform"
 )
 
@@ -61,12 +63,12 @@
 	// minMachineConns and maxMachineConns bound the open orders to the machine service;
 	// machineListConns are kept free for the list of machines.
 	minMachineConns, maxMachineConns, machineListConns = 16, 256, 4
-	// maxConnsPerListener bounds the open connections of each listener, the callers' in
-	// particular, below the limit of file descriptors.
-	maxConnsPerListener = 2000
 	// memoryLimitFraction is the fraction of the process's memory limit that is set as the
 	// soft limit of the Go runtime, above which garbage is collected more often.
 	memoryLimitFraction = 0.8
+	// unmanagedMB is memory, in MB, that the runtime's limit does not count, such as the pages of
+	// the program itself: about 12 MB. It matters for limits below 120 MB.
+	unmanagedMB = 24
 	// gcPercent is how much garbage may come on top of the live heap, in per cent. Most of an
 	// owner's memory is short-lived, and collecting it takes time from starts.
 	gcPercent = 200
@@ -94,6 +96,7 @@
 	callers       *httpconn.Server
 	health        *httpconn.Server
 	metrics       *httpconn.Server
+	guard         *inbound.Guard
 }
 
 // serveJobs serves until SIGTERM or SIGINT, then shuts down gracefully. SIGHUP reloads the
@@ -110,7 +113,7 @@
 		return &exitError{exitUsage, err}
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(loaded.Process.MemoryMB) * (1 << 20)))
+	debug.SetMemoryLimit(memoryLimit(loaded.Process.MemoryMB))
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	s, err := startJobs(loaded, log)
@@ -126,6 +129,12 @@
 	return s.shutdown()
 }
 
+// memoryLimit returns the soft limit of the Go runtime, in bytes, for a process's limit in MB.
+func memoryLimit(processMB int) int64 {
+	limit := min(memoryLimitFraction*float64(processMB), float64(max(unmanagedMB, processMB-unmanagedMB)))
+	return int64(limit * (1 << 20))
+}
+
 func startJobs(loaded settings.JobSettings, log *eventlog.Log) (*jobServer, error) {
 	s := &jobServer{settings: loaded, log: log}
 	clock, err := jobhost.NewClock()
@@ -144,11 +153,14 @@
 		Placement: &platform.PlacementChecker{HTTP: s.client, Address: loaded.Platform.PlacementCheckAddress},
 		Records:   platform.RecordCodec{},
 	}
-	if s.host, err = jobhost.Start(hostSettings(loaded), p, log, clock); err != nil {
+	bounds := boundsOfClients(loaded.Process)
+	s.guard = inbound.NewGuard(bounds.received, log)
+	network := peer.TCP{Guard: s.guard, MaxConns: bounds.peers}
+	if s.host, err = jobhost.Start(hostSettings(loaded), p, log, clock, jobhost.WithNetwork(network)); err != nil {
 		return nil, err
 	}
 	s.callerHandler = &platform.CallerHandler{Host: s.host}
-	return s, s.listen()
+	return s, s.listen(bounds)
 }
 
 // hostSettings derives the settings of the job host and its schedulers from the settings
@@ -188,25 +200,42 @@
 	return min(maxMachineConns, max(minMachineConns, int(p.MachineOrdersPerSecond*machineAnswerTime.Seconds())))
 }
 
-func (s *jobServer) listen() error {
-	limits := httpconn.Limits{MaxBody: maxSubmissionBytes, MaxConns: maxConnsPerListener}
+func (s *jobServer) listen(bounds clientBounds) error {
 	var err error
-	if s.callers, err = httpconn.Listen(s.settings.CallerAddress, s.callerHandler, limits); err != nil {
+	if s.callers, err = httpconn.Listen(s.settings.CallerAddress, s.callerHandler,
+		httpconn.Limits{MaxBody: platform.DefaultMaxBody, MaxConns: bounds.callers}, httpconn.WithGuard(s.guard),
+		httpconn.WithRequestLimits(s.requestLimits), httpconn.WithRefusal(platform.Refuse)); err != nil {
 		return err
 	}
-	if s.health, err = httpconn.Listen(s.settings.HealthAddress, platform.HealthHandler(s.host), limits); err != nil {
+	if s.health, err = httpconn.Listen(s.settings.HealthAddress, platform.HealthHandler(s.host),
+		httpconn.Limits{MaxBody: maxHealthBody, MaxConns: bounds.health}, httpconn.WithGuard(s.guard)); err != nil {
 		return err
 	}
 	if !s.settings.MetricsAddress.IsValid() {
 		return nil
 	}
-	s.metrics, err = httpconn.Listen(s.settings.MetricsAddress, s.metricsHandler(), limits)
+	s.metrics, err = httpconn.Listen(s.settings.MetricsAddress, s.metricsHandler(),
+		httpconn.Limits{MaxBody: maxSubmissionBytes, MaxConns: bounds.metrics}, httpconn.WithGuard(s.guard))
 	return err
 }
 
-// maxSubmissionBytes bounds a request body as it is read, before the limit from the
-// configuration applies.
-const maxSubmissionBytes = 1 << 20
+const (
+	// maxSubmissionBytes bounds the body of a request to the product's own interface.
+	maxSubmissionBytes = 1 << 20
+	// maxHealthBody bounds the body of a health check, which has none usually.
+	maxHealthBody = 4 << 10
+)
+
+// requestLimits returns the limits of the configuration in force.
+func (s *jobServer) requestLimits() httpconn.RequestLimits {
+	c := s.host.Configuration()
+	if c == nil {
+		return httpconn.RequestLimits{}
+	}
+	return httpconn.RequestLimits{MaxBody: c.Limits.MaxBodyBytes, Limits: inbound.Limits{
+		MaxHeaderBytes: c.Limits.MaxHeaderBytes, HeaderTimeout: c.Limits.HeaderTimeout, IdleTimeout: c.Limits.IdleTimeout,
+	}}
+}
 
 // metricsHandler serves the metrics, the dump of the process's state, and
 // hornbeammast's own API for jobs.
@@ -223,6 +252,7 @@
 func (s *jobServer) counters() map[string]any {
 	all := s.host.Metrics()
 	all["events"] = s.log.Counts()
+	all["clients"] = s.guard.Metrics()
 	return all
 }
 
--- a/internal/entryhost/entry_host.go
+++ b/internal/entryhost/entry_host.go
@@ -144,6 +144,7 @@
 	e.callers, err = caller.Listen(s.CallerAddress, e.dispatcher, e.follower.InContact, caller.Limits{
 		MaxBodyBytes: s.Limits.MaxBodyBytes, MaxConns: s.Limits.MaxConnections, MaxHeld: s.Limits.MaxHeldRequests,
 		MaxHeaders: s.Limits.MaxHeaders, DefaultTimeout: s.Limits.DefaultTimeout.Std(), MaxTimeout: s.Limits.MaxTimeout.Std(),
+		Events: e.events,
 	})
 	return err
 }
--- a/internal/protocol/queue/configuration.go
+++ b/internal/protocol/queue/configuration.go
@@ -59,9 +59,14 @@
 	MaxConns int
 }
 
-// Limits are bounds on the requests of callers.
+// Limits are bounds on the requests of callers; 0 means the default.
 type Limits struct {
-	MaxBodyBytes int
+	MaxHeaderBytes int
+	MaxBodyBytes   int
+	// HeaderTimeout bounds the time in which a header must arrive, IdleTimeout the time for
+	// which a connection may be silent.
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 }
 
 // Find returns the queue of a host with the longest prefix that matches the path, and the
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -163,7 +163,7 @@
 	}
 	ms, _ := strconv.Atoi(r.URL.Query().Get("wait-ms"))
 	deadline := time.After(min(time.Duration(ms)*time.Millisecond, maxWait))
-	disconnected := httpconn.Disconnected(w)
+	disconnected := httpconn.Disconnected(r)
 	for {
 		batch, appended := p.log.Read(r.PathValue("stream"), from)
 		if len(batch.Entries) > 0 || ms == 0 || from < batch.First {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -112,7 +112,7 @@
 		http.Error(rw, "worker is set to fail", http.StatusInternalServerError)
 		return
 	}
-	w.waitRunTime(httpconn.Disconnected(rw), r)
+	w.waitRunTime(httpconn.Disconnected(r), r)
 	w.answer(rw, r, body)
 }
 
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -21,6 +21,7 @@
 	"github.com/hornbeammast/hornbeammast/internal/pause"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/verdict"
 	"github.com/hornbeammast/hornbeammast/internal/transport/httpconn"
+	"github.com/hornbeammast/hornbeammast/internal/transport/inbound"
 )
 
 // Headers of callers' requests and of the answers to them.
@@ -54,6 +55,18 @@
 	MaxHeaders     int
 	DefaultTimeout time.Duration
 	MaxTimeout     time.Duration
+	// Events gets an event if a limit on clients is reached; it may be nil.
+	Events inbound.Events
+}
+
+// maxReceivedBytes bounds the bytes received and not yet answered, in bytes, whatever the other
+// limits are.
+const maxReceivedBytes = 128 << 20
+
+// maxReceived is the budget of bytes received and not yet answered: the bodies of the requests
+// that may be held.
+func (l *Limits) maxReceived() int64 {
+	return min(maxReceivedBytes, int64(l.MaxHeld)*int64(l.MaxBodyBytes))
 }
 
 // Server serves callers' requests.
@@ -84,7 +97,8 @@
 		dispatcher: dispatcher, configCurrent: configCurrent, limits: limits,
 		waiting: map[*waitingRequest]struct{}{}, stop: make(chan struct{}),
 	}
-	server, err := httpconn.Listen(address, s, httpconn.Limits{MaxBody: limits.MaxBodyBytes, MaxConns: limits.MaxConns})
+	server, err := httpconn.Listen(address, s, httpconn.Limits{MaxBody: limits.MaxBodyBytes, MaxConns: limits.MaxConns},
+		httpconn.WithGuard(inbound.NewGuard(limits.maxReceived(), limits.Events)), httpconn.WithRefusal(s.refuse))
 	if err != nil {
 		return nil, err
 	}
@@ -122,11 +136,6 @@
 		s.health(w)
 		return
 	}
-	defer s.held.Add(-1)
-	if held := s.held.Add(1); held > int64(s.limits.MaxHeld) {
-		s.writeProblem(w, verdict.NotRunError(verdict.CauseOverloaded, "this entry host has reached its limit of held requests; try another"))
-		return
-	}
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 		s.writeProblem(w, verdict.NotRunError(verdict.CauseShuttingDown, "this entry host is shutting down; try another"))
@@ -137,7 +146,13 @@
 		s.writeProblem(w, err)
 		return
 	}
-	ctx, done := s.watch(httpconn.Disconnected(w))
+	// A request whose body does not end takes no place of those that are held.
+	defer s.held.Add(-1)
+	if held := s.held.Add(1); held > int64(s.limits.MaxHeld) {
+		s.writeProblem(w, verdict.NotRunError(verdict.CauseOverloaded, "this entry host has reached its limit of held requests; try another"))
+		return
+	}
+	ctx, done := s.watch(httpconn.Disconnected(r))
 	answer, err := s.dispatcher.Serve(ctx, request)
 	done()
 	if err != nil {
@@ -147,6 +162,15 @@
 	s.writeAnswer(w, request, answer)
 }
 
+// refuse answers a request that exceeds a limit of the transport.
+func (s *Server) refuse(w http.ResponseWriter, status int, message string) {
+	cause := verdict.CauseTooLarge
+	if status == http.StatusBadRequest {
+		cause = verdict.CauseBadRequest
+	}
+	s.writeProblem(w, verdict.NotRunError(cause, message))
+}
+
 func (s *Server) health(w http.ResponseWriter) {
 	if s.draining.Load() {
 		http.Error(w, "shutting down", http.StatusServiceUnavailable)
@@ -182,14 +206,18 @@
 	if err != nil {
 		return nil, err
 	}
-	request.Deadline = time.Now().Add(timeout)
 	request.Body, err = io.ReadAll(io.LimitReader(r.Body, int64(s.limits.MaxBodyBytes)+1))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, verdict.NotRunError(verdict.CauseTooLarge, fmt.Sprintf("the body is larger than %d bytes", s.limits.MaxBodyBytes))
+	}
 	if err != nil {
 		return nil, verdict.NotRunError(verdict.CauseBadRequest, "the body can't be read: "+err.Error())
 	}
 	if len(request.Body) > s.limits.MaxBodyBytes {
 		return nil, verdict.NotRunError(verdict.CauseTooLarge, fmt.Sprintf("the body is larger than %d bytes", s.limits.MaxBodyBytes))
 	}
+	request.Deadline = time.Now().Add(timeout)
 	return request, nil
 }
 
--- a/internal/transport/httpconn/httpconn_test.go
+++ b/internal/transport/httpconn/httpconn_test.go
@@ -44,8 +44,8 @@
 // disconnected while its request is held.
 func TestDisconnected(t *testing.T) {
 	held, noticed := make(chan struct{}), make(chan struct{})
-	server := listen(t, func(w http.ResponseWriter, _ *http.Request) {
-		gone := Disconnected(w)
+	server := listen(t, func(_ http.ResponseWriter, r *http.Request) {
+		gone := Disconnected(r)
 		close(held)
 		for !gone() {
 			time.Sleep(time.Millisecond)
--- a/internal/transport/httpconn/reuse_test.go
+++ b/internal/transport/httpconn/reuse_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,7 +32,7 @@
 func reuseDescriptor(t *testing.T) bool {
 	t.Helper()
 	finish, descriptors := make(chan struct{}), make(chan int, 2)
-	server := listen(t, func(w http.ResponseWriter, r *http.Request) {
+	server := listenOnEngine(t, func(w http.ResponseWriter, r *http.Request) {
 		descriptors <- descriptor(w)
 		if r.URL.Path == "/old" {
 			<-finish
@@ -40,11 +41,11 @@
 	// The new client's end takes the descriptor of the old one's, the accepted socket takes
 	// this, and the server's copy of that socket the old one of the server.
 	spare := openNull(t)
-	oldClient := dialAndAsk(t, server, "/old")
+	oldClient := dialAndAsk(t, server.Addrs[0], "/old")
 	old := <-descriptors
 	takeBelow(t, old)
 
-	first, second := newBlocker(t, server.engine, old), newBlocker(t, server.engine, old)
+	first, second := newBlocker(t, server, old), newBlocker(t, server, old)
 	first.block(t)
 	second.poke(t)
 	_ = oldClient.Close()
@@ -57,7 +58,7 @@
 		return err != nil
 	})
 	_ = spare.Close()
-	newClient := dialAndAsk(t, server, "/new")
+	newClient := dialAndAsk(t, server.Addrs[0], "/new")
 	// A server that doesn't wait for the poller hands it the new connection meanwhile.
 	time.Sleep(50 * time.Millisecond)
 	close(second.release)
@@ -69,13 +70,64 @@
 	return <-descriptors == old
 }
 
+// listenOnEngine starts an nbhttp server whose connections are adopted by an engine, as those of
+// a client are.
+func listenOnEngine(t testing.TB, handler http.HandlerFunc) *engine {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var e *engine
+	e, err = newEngine(nbhttp.Config{
+		Network: "tcp", Addrs: []string{listener.Addr().String()}, Handler: handler, MaxLoad: 20000,
+		Listen:         func(string, string) (net.Listener, error) { return adopter{listener, e}, nil },
+		ServerExecutor: func(f func()) { go f() },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	orderOpenBeforeData(e.Engine)
+	if err := e.start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.stop)
+	return e
+}
+
+// adopter hands accepted connections over to an engine.
+type adopter struct {
+	net.Listener
+	engine *engine
+}
+
+func (a adopter) Accept() (net.Conn, error) {
+	c, err := a.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return a.engine.adopt(c)
+}
+
+// orderOpenBeforeData shows the race detector a happens-before relation that otherwise
+// runs through the kernel: the accepting goroutine sets a connection up before the poller
+// reads data from it.
+func orderOpenBeforeData(engine *nbhttp.Engine) {
+	var opened atomic.Int64
+	engine.OnOpen(func(net.Conn) { opened.Add(1) })
+	engine.OnData(func(c *nbio.Conn, data []byte) {
+		_ = opened.Load()
+		c.DataHandler()(c, data)
+	})
+}
+
 func descriptor(w http.ResponseWriter) int {
 	return w.(*nbhttp.Response).Parser.Conn.(*nbhttp.Conn).Conn.(*nbio.Conn).Hash() //nolint:forcetypeassert // Fails the test.
 }
 
-func dialAndAsk(t *testing.T, server *Server, path string) net.Conn {
+func dialAndAsk(t *testing.T, address, path string) net.Conn {
 	t.Helper()
-	c, err := net.Dial("tcp", server.Address().String())
+	c, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/transport/jobs/server.go
+++ b/internal/transport/jobs/server.go
@@ -78,6 +78,9 @@
 		writeProblem(w, http.StatusRequestEntityTooLarge, verdict.NotRun, "the body can't be read or is too large")
 		return
 	}
+	// The time in which the body arrives does not count.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestTimeout)
+	defer cancel()
 	submission, err := jobapi.Parse(body)
 	if err != nil {
 		writeProblem(w, http.StatusBadRequest, verdict.NotRun, err.Error())
--- a/internal/transport/operator/server.go
+++ b/internal/transport/operator/server.go
@@ -15,6 +15,7 @@
 	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
 	"github.com/hornbeammast/hornbeammast/internal/state"
 	"github.com/hornbeammast/hornbeammast/internal/transport/httpconn"
+	"github.com/hornbeammast/hornbeammast/internal/transport/inbound"
 )
 
 const (
@@ -22,6 +23,8 @@
 	maxBody = 1 << 20
 	// maxConns is the maximum number of open connections.
 	maxConns = 256
+	// maxReceived bounds the bytes received and not yet answered over all connections.
+	maxReceived = 16 << 20
 	// submitTimeout bounds the wait for the outcome of a submitted record.
 	submitTimeout = 10 * time.Second
 )
@@ -50,7 +53,8 @@
 // Listen starts a server at an address.
 func Listen(address netip.AddrPort, handler Handler) (*Server, error) {
 	s := &Server{handler: handler}
-	server, err := httpconn.Listen(address, s.routes(), httpconn.Limits{MaxBody: maxBody, MaxConns: maxConns})
+	server, err := httpconn.Listen(address, s.routes(), httpconn.Limits{MaxBody: maxBody, MaxConns: maxConns},
+		httpconn.WithGuard(inbound.NewGuard(maxReceived, nil)))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/peer/network.go
+++ b/internal/transport/peer/network.go
@@ -4,6 +4,18 @@
 	"context"
 	"net"
 	"net/netip"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hornbeammast/hornbeammast/internal/transport/inbound"
+)
+
+const (
+	// defaultMaxConns is the maximum number of connections that a TCP without a guard accepts.
+	defaultMaxConns = 1024
+	// defaultMaxReceived bounds the bytes of unanswered calls, in bytes, that a TCP without a
+	// guard accepts.
+	defaultMaxReceived = 64 << 20
 )
 
 // Network opens connections between entry hosts. The emulator has a Network of its own.
@@ -13,11 +25,23 @@
 }
 
 // TCP is the Network over which processes connect in production.
-type TCP struct{}
+type TCP struct {
+	// Guard bounds what peers send; nil sets the defaults.
+	Guard *inbound.Guard
+	// MaxConns is the maximum number of open connections from peers.
+	MaxConns int
+}
 
 // Listen opens a TCP listener on an address.
-func (TCP) Listen(address netip.AddrPort) (net.Listener, error) {
-	return net.Listen("tcp", address.String())
+func (t TCP) Listen(address netip.AddrPort) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	if t.Guard == nil {
+		t.Guard, t.MaxConns = inbound.NewGuard(defaultMaxReceived, nil), defaultMaxConns
+	}
+	return t.Guard.Listen(listener, t.MaxConns, nil), nil
 }
 
 // Dial connects to an address within callTimeout.
