--- a/internal/emulator/site/callers.go
+++ b/internal/emulator/site/callers.go
@@ -79,7 +79,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 		sent := *j
 		sent.Steps = slices.Clone(j.Steps)
-		err := h.Intake().Submit(ctx, intake.Caller{Configuration: c, Queue: q}, &sent)
+		err := h.Intake().Submit(ctx, intake.Caller{Configuration: c, Queue: q, Organisation: sent.Organisation}, &sent)
 		cancel()
 		if err == nil {
 			s.ledger.accepted(j.ID)
@@ -109,7 +109,7 @@
 	defer cancel()
 	again := *j
 	again.Steps = slices.Clone(j.Steps)
-	if err := h.Intake().Submit(ctx, intake.Caller{Configuration: c, Queue: q}, &again); err != nil {
+	if err := h.Intake().Submit(ctx, intake.Caller{Configuration: c, Queue: q, Organisation: again.Organisation}, &again); err != nil {
 		return false
 	}
 	s.ledger.accepted(j.ID)
