--- a/internal/jobhost/admission.go
+++ b/internal/jobhost/admission.go
@@ -74,6 +74,23 @@
 	return verdict.HopelessError(o.message, o.retryAfter)
 }
 
+// refusal returns the error of a record that is refused for good, or nil if it may be tried again. What
+// an earlier attempt may have added is not refused, except by the pool's owner.
+func refusal(o outcome, mayHaveRun bool) error {
+	switch {
+	case o.retryAfter > 0:
+		return rejection(o, mayHaveRun)
+	case mayHaveRun:
+		return nil
+	case o.otherOrganisation:
+		return verdict.NotRunError(verdict.CauseDuplicate, o.message)
+	case o.refused:
+		return verdict.NotRunError(verdict.CauseTooLarge, o.message)
+	default:
+		return nil
+	}
+}
+
 func relayReply(o outcome) *wire.RelayReply {
 	return &wire.RelayReply{
 		Verdict: string(o.verdict), Message: o.message, Refused: o.refused, RetryAfterMs: o.retryAfter.Milliseconds(),
--- a/internal/jobhost/log_recorder.go
+++ b/internal/jobhost/log_recorder.go
@@ -88,14 +88,8 @@
 			return nil
 		}
 		mayHaveRun = mayHaveRun || o.verdict != verdict.NotRun
-		if o.otherOrganisation && !mayHaveRun {
-			return verdict.NotRunError(verdict.CauseDuplicate, message)
-		}
-		if o.retryAfter > 0 {
-			return rejection(o, mayHaveRun)
-		}
-		if o.refused && !mayHaveRun {
-			return verdict.NotRunError(verdict.CauseTooLarge, message)
+		if err := refusal(o, mayHaveRun); err != nil {
+			return err
 		}
 		if !mayHaveRun && s.host.now().Sub(began) > submitRefuseAfter {
 			return verdict.NotRunError(verdict.CauseNotServing, "the log can't be reached: "+message)
