Admission control is a setting, off by default

Cause: an owner reckons with the growth of its pool in the last seconds, while the fleet owner moves hosts faster; attempts were refused that would have been served. Change: setting admission-control; the emulator and the tests have it on.

--- a/internal/cmd/serve_jobs.go
+++ b/internal/cmd/serve_jobs.go
@@ -193,6 +193,7 @@
 			CheckpointInterval: b.CheckpointInterval.Std(), RemoteDataFactor: b.RemoteDataFactor, NoticeTime: b.NoticeTime.Std(), StopTime: b.StopTime.Std(),
 			ContactTime: b.ContactTime.Std(), ReportInterval: loaded.Platform.ReportInterval.Std(), EndedJobRetention: b.EndedJobRetention.Std(),
 		},
+		AdmissionControl: loaded.AdmissionControl,
 		PoolOptions: []schedule.Option{schedule.WithInterference(interference.Mode(loaded.Interference))},
 	}
 }
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -251,7 +251,7 @@
 	settings := jobhost.Settings{
 		Name: name, DataCentre: dataCentre, PeerAddress: h.address, Partitions: partitions, GroupTTL: groupTTL,
 		LogLimits: keyedlog.Limits{Record: recordBytes, Call: callBytes},
-		Resources: resources, Losses: candidacy.Losses{Hosts: 1, DataCentres: 1},
+		Resources: resources, Losses: candidacy.Losses{Hosts: 1, DataCentres: 1}, AdmissionControl: true,
 		Limits: schedule.Limits{
 			Lease: 5 * time.Second, MaxLease: maxLease, MaxUnconfirmed: 6 * time.Second, RenewalWait: 1500 * time.Millisecond,
 			CheckpointInterval: checkpointInterval, RemoteDataFactor: 2, NoticeTime: 4500 * time.Millisecond, StopTime: stopTime,
--- a/internal/jobhost/admission.go
+++ b/internal/jobhost/admission.go
@@ -28,7 +28,7 @@
 // again. A job is refused only by an owner that takes the queue's new jobs and does not have it.
 func (p *partition) admit(record keyedlog.Record) (retryAfter time.Duration, ok bool) {
 	config := p.host.config()
-	if !strings.HasPrefix(record.Key, keyJob) || config == nil || !config.RequiresKeys || !p.loaded.Load() || p.fencedOnce.Load() {
+	if !strings.HasPrefix(record.Key, keyJob) || !p.host.settings.AdmissionControl || config == nil || !config.RequiresKeys || !p.loaded.Load() || p.fencedOnce.Load() {
 		return 0, true
 	}
 	j, err := job.Unmarshal(record.Value)
--- a/internal/jobhost/admission_test.go
+++ b/internal/jobhost/admission_test.go
@@ -21,6 +21,7 @@
 	t.Helper()
 	r := newRunnerTest(t)
 	h := r.runner.host
+	h.settings.AdmissionControl = true
 	h.operators = &operatorsView{}
 	h.operators.inForce.Store(access.New(&queue.Configuration{RequiresKeys: true}))
 	h.contact.answered(r.now)
@@ -75,6 +76,7 @@
 		{"pool fenced", true, func(p *partition) { p.pools["maps"].pool.Fence() }},
 		{"pool unknown", true, func(p *partition) { delete(p.pools, "maps") }},
 		{"log not in contact", true, func(p *partition) { p.host.contact.answered(time.Time{}.Add(-time.Hour)) }},
+		{"admission control off", true, func(p *partition) { p.host.settings.AdmissionControl = false }},
 		{"no organisations", true, func(p *partition) { p.host.operators.inForce.Store(access.New(&queue.Configuration{})) }},
 	} {
 		p := newFullPartition(t)
--- a/internal/jobhost/job_host.go
+++ b/internal/jobhost/job_host.go
@@ -58,6 +58,8 @@
 	Losses    candidacy.Losses
 	Limits    schedule.Limits
 	Capacity  Capacity
+	// AdmissionControl has owners refuse jobs that could not end in time.
+	AdmissionControl bool
 	// PoolOptions configure the pools.
 	PoolOptions []schedule.Option
 }
--- a/internal/protocol/settings/job_settings.go
+++ b/internal/protocol/settings/job_settings.go
@@ -30,6 +30,9 @@
 	Interference string `json:"interference,omitempty"`
 	// LogLevel is debug, info, warning or error.
 	LogLevel string `json:"log-level,omitempty"`
+	// AdmissionControl has owners refuse jobs that would end when their result has no value, if the
+	// configuration has organisations.
+	AdmissionControl bool `json:"admission-control,omitempty"`
 	// LogBytesPerSecond bounds the rate of the process's log; lines beyond it are dropped and
 	// counted.
 	LogBytesPerSecond int `json:"log-bytes-per-second,omitempty"`
