--- a/internal/cmd/serve_jobs.go
+++ b/internal/cmd/serve_jobs.go
@@ -194,7 +194,7 @@
 			ContactTime: b.ContactTime.Std(), ReportInterval: loaded.Platform.ReportInterval.Std(), EndedJobRetention: b.EndedJobRetention.Std(),
 		},
 		AdmissionControl: loaded.AdmissionControl,
-		PoolOptions: []schedule.Option{schedule.WithInterference(interference.Mode(loaded.Interference))},
+		PoolOptions:      []schedule.Option{schedule.WithInterference(interference.Mode(loaded.Interference))},
 	}
 }
 
