Comments of inbound connections say what the calls do; the stand-in takes its topic from the adapter

Cause: five comments only restated a name, and the tests of clients spelled a topic of the platform. Change: comments; the stand-in compares the whole topic with the one of platform.RecordCodec, before it looked for a part of it. Loads and bounds are as they were.

--- a/internal/clientload/platform_test.go
+++ b/internal/clientload/platform_test.go
@@ -8,9 +8,10 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
-	"strings"
 	"testing"
 	"time"
+
+	"github.com/hornbeammast/hornbeammast/platform"
 )
 
 // configuration is what the stand-in's operators publish: one queue, with the limits of the
@@ -40,7 +41,7 @@
 			Value []byte `json:"value"`
 		}
 		items := []item{}
-		if strings.Contains(r.URL.Query().Get("topic"), "keyed.op") {
+		if r.URL.Query().Get("topic") == (platform.RecordCodec{}).OperatorPartition().Topic {
 			items = append(items, item{"config", []byte(configuration)})
 		}
 		_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "end": 1})
--- a/internal/cmd/cmd_explain.go
+++ b/internal/cmd/cmd_explain.go
@@ -105,7 +105,7 @@
 	first, last time.Time
 	hosts       map[string]struct{}
 	pools       map[string]struct{}
-	// organisations holds the job's owner; ended is set if a line tells of the job's end.
+	// organisations holds the job's organisation; ended is set if a line is about the job's end.
 	organisations map[string]struct{}
 	ended         bool
 }
--- a/internal/transport/inbound/conn.go
+++ b/internal/transport/inbound/conn.go
@@ -66,7 +66,7 @@
 	return c.writing.Load() || phase(c.phase.Load()) != executing
 }
 
-// Idle tells that the request is answered.
+// Idle releases the bytes of a request that was answered, and awaits the next one.
 func (c *Conn) Idle() {
 	c.release(c.received.Swap(0))
 	c.headerBytes = 0
@@ -74,17 +74,17 @@
 	c.phase.Store(int32(idle))
 }
 
-// HeaderRead tells that the header of a request has been read.
+// HeaderRead marks the connection as receiving the body of a request.
 func (c *Conn) HeaderRead() { c.phase.Store(int32(inBody)) }
 
-// Discard tells that the rest of the body will not be kept.
+// Discard releases the bytes of a request; the rest of its body does not count.
 func (c *Conn) Discard() {
 	c.release(c.received.Swap(0))
 	c.phase.Store(int32(discarding))
 }
 
-// Execute tells that the whole request has been read. It reports false if the connection
-// was closed before: the request must not be carried out then.
+// Execute marks the request as read whole and being carried out, so that the connection is not
+// shed. It returns false if the connection was closed before: the request must not be carried out then.
 func (c *Conn) Execute() bool {
 	c.phase.Store(int32(executing))
 	return !c.closed.Load()
