--- a/review/standin-2/check.go
+++ b/review/standin-2/check.go
@@ -22,6 +22,8 @@
 	failed      map[string]int
 	starts      int
 	breaks      []string
+	// ordered holds the tasks whose last run was ended by an order.
+	ordered map[string]bool
 	// calmFrom is from when on all entry hosts are in touch again.
 	calmFrom time.Time
 }
@@ -46,7 +48,7 @@
 }
 
 func newChecker(s *site) *checker {
-	return &checker{site: s, active: map[string]map[int64]*life{}, doneAt: map[string]time.Time{}, cancelledAt: map[string]time.Time{}, failed: map[string]int{}}
+	return &checker{site: s, active: map[string]map[int64]*life{}, doneAt: map[string]time.Time{}, cancelledAt: map[string]time.Time{}, failed: map[string]int{}, ordered: map[string]bool{}}
 }
 
 func (c *checker) broken(rule, format string, args ...any) {
@@ -87,6 +89,7 @@
 		c.active[o.Task] = map[int64]*life{}
 	}
 	c.active[o.Task][o.Run] = l
+	delete(c.ordered, o.Task)
 	cancelled, isCancelled := c.cancelledAt[step.job.id]
 	failures := c.failed[o.Task]
 	c.mu.Unlock()
@@ -136,6 +139,27 @@
 	}
 }
 
+// stopOrdered checks an order to stop a run of a step with may-miss, whose worker is sound.
+func (c *checker) stopOrdered(r *taskRun) {
+	step := r.step
+	if step.MayMiss == 0 || !r.working {
+		return
+	}
+	away := 0
+	c.mu.Lock()
+	c.ordered[r.task] = true
+	for index := range step.Count {
+		other := fmt.Sprintf("%s.%d", r.task[:strings.LastIndex(r.task, ".")], index)
+		if other != r.task && c.ordered[other] {
+			away++
+		}
+	}
+	c.mu.Unlock()
+	if away >= step.MayMiss {
+		c.broken("AVAIL", "a stop ends task %s, while %d others of its step are away after such an order; may-miss is %d", r.task, away, step.MayMiss)
+	}
+}
+
 // hasBegun reports whether any task of a submission has been started.
 func (c *checker) hasBegun(j *jobDef) bool {
 	c.mu.Lock()
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -21,6 +21,7 @@
 	"frozen-post": frozenPost,
 	"late-upkeep": lateUpkeep,
 	"other-kind":  otherKind,
+	"preempted":   preempted,
 }
 
 func main() {
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -300,6 +300,7 @@
 	}
 	if !r.stopping {
 		r.stopping = true
+		l.site.check.stopOrdered(r)
 		time.AfterFunc(stopTime/2, func() { l.endNow(r, "stopped") })
 	}
 	return accept()
