--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -7,4 +7,4 @@
   echo "run the build of deploy/system.toml and review/build-2.sh first"
   exit 2
 fi
-exec target/review-2/standin late-upkeep review/9/record.txt
+exec target/review-2/standin lasting review/9/record.txt
--- a/review/standin-2/check.go
+++ b/review/standin-2/check.go
@@ -22,6 +22,8 @@
 	failed      map[string]int
 	starts      int
 	breaks      []string
+	// startsOf counts the runs of each task.
+	startsOf map[string]int
 	// ordered holds the tasks whose last run was ended by an order.
 	ordered map[string]bool
 	// calmFrom is from when on all entry hosts are in touch again.
@@ -48,7 +50,7 @@
 }
 
 func newChecker(s *site) *checker {
-	return &checker{site: s, active: map[string]map[int64]*life{}, doneAt: map[string]time.Time{}, cancelledAt: map[string]time.Time{}, failed: map[string]int{}, ordered: map[string]bool{}}
+	return &checker{site: s, active: map[string]map[int64]*life{}, doneAt: map[string]time.Time{}, cancelledAt: map[string]time.Time{}, failed: map[string]int{}, ordered: map[string]bool{}, startsOf: map[string]int{}}
 }
 
 func (c *checker) broken(rule, format string, args ...any) {
@@ -83,6 +85,7 @@
 	}
 	c.mu.Lock()
 	c.starts++
+	c.startsOf[o.Task]++
 	done, isDone := c.doneAt[o.Task]
 	others := len(c.active[o.Task])
 	if c.active[o.Task] == nil {
@@ -160,6 +163,13 @@
 	}
 }
 
+// runsOf returns how many runs a task has had, and whether it has one now.
+func (c *checker) runsOf(task string) (runs int, has bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.startsOf[task], len(c.active[task]) > 0
+}
+
 // hasBegun reports whether any task of a submission has been started.
 func (c *checker) hasBegun(j *jobDef) bool {
 	c.mu.Lock()
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,6 +19,7 @@
 	"poison":      poison,
 	"large-gang":  largeGang,
 	"frozen-post": frozenPost,
+	"lasting":     lasting,
 	"late-upkeep": lateUpkeep,
 	"other-kind":  otherKind,
 	"preempted":   preempted,
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -49,6 +49,8 @@
 	steps    []*stepDef
 	work     time.Duration
 	fails    bool
+	// failsEvery is how long the tasks of a step that lasts work on average until they fail, 0 for ever.
+	failsEvery time.Duration
 	// crashes is how long after its start a task crashes its worker, 0 for never.
 	crashes     time.Duration
 	maxAttempts int
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -240,6 +241,9 @@
 func (l *life) work(r *taskRun) {
 	r.working = true
 	if r.step.LongRunning {
+		if mean := r.step.job.failsEvery; mean > 0 {
+			r.timer = time.AfterFunc(time.Duration(rand.ExpFloat64()*float64(mean)), func() { l.endNow(r, "failed") })
+		}
 		return
 	}
 	how := "done"
