review: links with a bandwidth and workers behind gates in the stand-in

For two more cases: the way from the store to an entry host can have the bandwidth of the site's links, and a worker can come back under its id at its address, or be cut off.

--- a/review/standin-2/machines.go
+++ b/review/standin-2/machines.go
@@ -185,6 +185,12 @@
 	l := &life{
 		site: m.site, id: fmt.Sprintf("i-%s-%d", c.name, c.lives), service: c.pool, zone: c.zone, labels: c.labels, capacity: c.capacity, guards: m.site.guards,
 	}
+	if m.site.gated {
+		var err error
+		if l.gate, err = newGate(); err != nil {
+			return err
+		}
+	}
 	if err := l.start(""); err != nil {
 		return err
 	}
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -18,6 +19,8 @@
 const (
 	sparePool = "spares"
 	hostName  = "maps.example"
+	// downTime is how long an entry host that was killed is down, the for_s of node_kill.
+	downTime = 3500 * time.Millisecond
 )
 
 // stepDef is a step of a submission as a client sends it.
@@ -54,6 +57,7 @@
 	// crashes is how long after its start a task crashes its worker, 0 for never.
 	crashes     time.Duration
 	maxAttempts int
+	spec        string
 	advice      bool
 	times       int
 	startAt     time.Time
@@ -67,6 +71,20 @@
 	prio    int
 }
 
+// hostClass is a class of machines of the system.
+type hostClass struct {
+	coreShare          float64
+	memoryMB, linkMbps int
+	// limited has the bandwidth of the link from the store kept to.
+	limited bool
+	// maxLease is the longest lease of a worker, 0 for that of isikbakim-hbm.
+	maxLease time.Duration
+	// bounds replace those of isikbakim-hbm.
+	bounds map[string]any
+}
+
+var standardClass = hostClass{coreShare: 0.4, memoryMB: 284, linkMbps: 1000}
+
 // site is a small deployment: a store, workers, machines and entry hosts.
 type site struct {
 	rec      *recorder
@@ -81,6 +99,9 @@
 	// network is the loopback address of the entry hosts, ports how many ports they have.
 	network string
 	ports   int
+	class   hostClass
+	// gated gives each worker a gate.
+	gated bool
 
 	mu    sync.Mutex
 	jobs  map[string]*jobDef
@@ -90,7 +111,7 @@
 }
 
 func newSite(rec *recorder, guards bool, routes ...route) (*site, error) {
-	s := &site{rec: rec, store: newStore(8), gangs: &gangs{runs: map[string]map[*taskRun]*life{}}, guards: guards, routes: routes, jobs: map[string]*jobDef{}}
+	s := &site{rec: rec, store: newStore(8), gangs: &gangs{runs: map[string]map[*taskRun]*life{}}, guards: guards, routes: routes, jobs: map[string]*jobDef{}, class: standardClass}
 	s.network = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250), 1+rand.IntN(250))
 	s.check = newChecker(s)
 	s.machines = &machineService{site: s, waves: map[int64]wave{}}
@@ -202,12 +223,16 @@
 // startHost starts an entry host with the command of the deploy file and the settings that its
 // template gives.
 func (s *site) startHost(name, zone string) (*entryHost, error) {
+	store, err := s.storeAddressOf()
+	if err != nil {
+		return nil, err
+	}
 	h := &entryHost{name: name, address: s.freeAddress(), health: s.freeAddress(), file: filepath.Join(s.dir, name+".json")}
 	settings := map[string]any{
 		"name": name, "data-centre": zone, "caller-address": h.address, "health-address": h.health,
 		"peer-address": s.freeAddress(), "metrics-address": s.freeAddress(),
 		"platform": map[string]any{
-			"log-address": s.storeAddress, "machines-address": s.machinesAddress, "advice-address": s.adviceAddress, "partitions": 8,
+			"log-address": store, "machines-address": s.machinesAddress, "advice-address": s.adviceAddress, "partitions": 8,
 			"least-group-ttl": "1000ms", "record-bytes": 262144, "call-bytes": 2097152, "report-interval": "1500ms",
 			"machine-orders-per-second": 64.0, "machine-reads-per-second": 64.0,
 		},
@@ -216,8 +241,9 @@
 			"stop-time": "400ms", "contact-time": "3000ms", "checkpoint-every": "1s", "keep-ended": "120s", "far-factor": 3,
 			"shutdown-grace": "6s", "lost-hosts": 2, "lost-data-centres": 1,
 		},
-		"process": map[string]any{"core-share": 0.4, "core-speed": 1, "link-mbps": 1000.0, "memory-mb": 284, "max-descriptors": 4100},
+		"process": map[string]any{"core-share": s.class.coreShare, "core-speed": 1, "link-mbps": s.class.linkMbps, "memory-mb": s.class.memoryMB, "max-descriptors": 4100},
 	}
+	maps.Copy(settings["bounds"].(map[string]any), s.class.bounds)
 	data, _ := json.MarshalIndent(settings, "", "  ")
 	if err := os.WriteFile(h.file, data, 0o600); err != nil {
 		return nil, err
@@ -363,6 +389,9 @@
 // submit hands a submission in, up to five times at changing hosts, as clients do.
 func (s *site) submit(j *jobDef) bool {
 	body := map[string]any{"spec": "work", "steps": j.steps}
+	if j.spec != "" {
+		body["spec"] = j.spec
+	}
 	if j.times > 0 {
 		body["times"], body["start-at-ms"], body["interval-ms"] = j.times, j.startAt.UnixMilli(), j.interval.Milliseconds()
 	}
@@ -375,3 +404,49 @@
 	}
 	return false
 }
+
+// storeAddressOf returns the address at which a new entry host reaches the store.
+func (s *site) storeAddressOf() (string, error) {
+	if !s.class.limited {
+		return s.storeAddress, nil
+	}
+	l := &link{target: s.storeAddress, bytesPerSecond: float64(s.class.linkMbps) * 1e6 / 8}
+	return l.listen()
+}
+
+// maxLease returns the longest lease that a worker grants.
+func (s *site) maxLease() time.Duration {
+	if s.class.maxLease > 0 {
+		return s.class.maxLease
+	}
+	return maxLease
+}
+
+// jobsPartition returns the partition that holds most, with the size of its newest records as the
+// store lists them, and its owner.
+func (s *site) jobsPartition() (id partitionID, bytes int, owner string) {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	for other, p := range s.store.partitions {
+		if other.topic != "keyed.jobs" {
+			continue
+		}
+		newest := map[string]int{}
+		for _, r := range p.records {
+			newest[r.key] = len(r.key) + len(r.value)*4/3
+		}
+		size := 0
+		for _, n := range newest {
+			size += n
+		}
+		if size > bytes {
+			id, bytes = other, size
+		}
+	}
+	for _, g := range s.store.groups {
+		if h := g.holders[id]; h != nil {
+			owner, _, _ = strings.Cut(h.holder, "@")
+		}
+	}
+	return id, bytes, owner
+}
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -19,6 +19,8 @@
 	storeLatency = 4 * time.Millisecond
 	// newestPage is the number of items on a page of the newest records.
 	newestPage = 500
+	// newestBytes is the size of such a page.
+	newestBytes = 1 << 20
 )
 
 // store is the platform's store: keyed topics and groups of members.
@@ -232,8 +234,13 @@
 	}
 	s.mu.Unlock()
 	slices.SortFunc(reply.Items, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
-	if len(reply.Items) > newestPage {
-		reply.Items, reply.More = reply.Items[:newestPage], true
+	bytes := 0
+	for n := range reply.Items {
+		bytes += len(reply.Items[n].Key) + len(reply.Items[n].Value)
+		if n == newestPage || (n > 0 && bytes > newestBytes) {
+			reply.Items, reply.More = reply.Items[:n], true
+			break
+		}
 	}
 	writeJSON(w, http.StatusOK, reply)
 }
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -58,6 +58,10 @@
 	lastRun map[string]int64
 	changed chan struct{}
 	seq     int64
+	// gate is the way to the worker, nil if it is reached at once.
+	gate *gate
+	// unregistered is set until the worker may write to the store.
+	unregistered bool
 }
 
 type taskRun struct {
@@ -109,6 +113,10 @@
 	mux.HandleFunc("POST /api/pace", l.handle(l.pace))
 	l.server = &http.Server{Handler: mux}
 	go func() { _ = l.server.Serve(listener) }()
+	if l.gate != nil {
+		l.gate.begin(l.address)
+		l.address = l.gate.address
+	}
 	go l.watchLease()
 	l.site.rec.note("worker %s of %s begins a life, labels %v, born %d", l.id, l.service, l.labels, l.born())
 	return nil
@@ -143,6 +151,10 @@
 // register writes the worker's entry to the store.
 func (l *life) register(state string) {
 	l.mu.Lock()
+	if l.unregistered {
+		l.mu.Unlock()
+		return
+	}
 	l.seq++
 	entry := map[string]any{
 		"service": l.service, "address": l.address, "zone": l.zone, "version": "v1", "slots": 8, "state": state,
@@ -180,7 +192,7 @@
 
 // extend applies a lease; the lock is held.
 func (l *life) extend(endMS int64) {
-	end := min(time.Duration(endMS)*time.Millisecond, l.clock()+maxLease)
+	end := min(time.Duration(endMS)*time.Millisecond, l.clock()+l.site.maxLease())
 	l.leaseEnd = max(l.leaseEnd, end)
 }
 
