--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -23,6 +23,7 @@
 	"late-upkeep": lateUpkeep,
 	"other-kind":  otherKind,
 	"preempted":   preempted,
+	"takeover":    takeover,
 	"recut":       recut,
 }
 
