--- a/internal/coordination/schedule/advice.go
+++ b/internal/coordination/schedule/advice.go
@@ -19,7 +19,9 @@
 
 // placementCheck holds which hosts may run a step, with their tickets.
 type placementCheck struct {
-	pending   bool
+	pending bool
+	// advised is set once a query was answered.
+	advised   bool
 	notBefore time.Time
 	// answered maps each host whose answer is known to the incarnation that it applies to;
 	// the answer for one incarnation does not change.
@@ -56,6 +58,8 @@
 // there are any and no other query is in flight.
 func (p *Pool) placementQuery(s *step, now time.Time) (PlacementQuery, bool) {
 	if s.placementCheck == nil {
+		s.job.noteActive(s)
+		s.job.unadvised++
 		s.placementCheck = &placementCheck{answered: map[worker.ID]worker.Incarnation{}, tickets: map[worker.ID]ticket{}}
 	}
 	if s.placementCheck.pending || now.Before(s.placementCheck.notBefore) {
@@ -78,6 +82,9 @@
 	return PlacementQuery{Step: worker.TaskName{Job: string(s.job.ID), Occurrence: s.occurrence, Step: s.number}, Workers: ids}, true
 }
 
+// unadvised reports whether the step waits for the first answer of the placement check.
+func (s *step) unadvised() bool { return s.placementCheck != nil && !s.placementCheck.advised }
+
 // needsPlacementQuery reports whether a host's answer is unknown or its ticket has expired.
 func (s *step) needsPlacementQuery(h *host, now time.Time) bool {
 	incarnation, known := s.placementCheck.answered[h.report.ID]
@@ -97,13 +104,22 @@
 	if !ok {
 		return
 	}
-	s := e.step(q.Step.Occurrence, q.Step.Step)
+	o, ok := e.occurrences[q.Step.Occurrence]
+	if !ok || o.steps[q.Step.Step] == nil || o.steps[q.Step.Step].placementCheck == nil {
+		// The occurrence is done.
+		return
+	}
+	s := o.steps[q.Step.Step]
 	s.placementCheck.pending = false
 	if err != nil {
 		s.placementCheck.notBefore = now.Add(placementRetry)
 		p.events.Event("advice-failed", "step", q.Step.StepName(), "hosts", len(q.Workers), "error", err)
 		return
 	}
+	if s.unadvised() {
+		s.placementCheck.advised = true
+		e.unadvised--
+	}
 	p.events.Event("advised", "step", q.Step.StepName(), "asked", len(q.Workers), "good", len(tickets))
 	for _, id := range q.Workers {
 		h, ok := p.hosts[id]
--- a/internal/coordination/schedule/backlog.go
+++ b/internal/coordination/schedule/backlog.go
@@ -52,6 +52,16 @@
 	}
 }
 
+// addTimes adds the work of so many like tasks.
+func (w *work) addTimes(tasks int, needs demand, seconds, deviation float64) {
+	var one work
+	one.add(needs, seconds, deviation)
+	for n := range needs {
+		w.mean[n] += float64(tasks) * one.mean[n]
+		w.variance[n] += float64(tasks) * one.variance[n]
+	}
+}
+
 func (w *work) addWork(o *work) {
 	for n := range o.mean {
 		w.mean[n] += o.mean[n]
@@ -112,9 +122,8 @@
 		p.addArrivals(b, f, now)
 	}
 	for _, e := range p.openJobs() {
-		for occurrence := e.firstOpenOccurrence(); occurrence < e.OccurrenceCount() && !now.Before(e.EarliestStart(occurrence)); occurrence++ {
-			p.addBacklog(b, e, occurrence)
-		}
+		e.stepsWithState(now, func(s *step) { p.addBacklog(b, s) })
+		p.addUpcoming(b, e)
 	}
 	b.total = b.begun
 	for n := range b.items {
@@ -162,45 +171,67 @@
 	}
 }
 
-// addBacklog adds the tasks of an occurrence that run or could run.
-func (p *Pool) addBacklog(b *backlog, e *jobEntry, occurrence int) {
-	state := e.Occurrence(occurrence)
-	if state.Done {
+// addBacklog adds the tasks of a step with state that run or could run.
+func (p *Pool) addBacklog(b *backlog, s *step) {
+	e := s.job
+	if s.def.LongRunning {
 		return
 	}
 	mean, deviation := p.estimates.spread(e.Queue)
-	for number := range e.Steps {
-		s := e.step(occurrence, number)
-		if state.StepDone(number) || s.def.LongRunning || !e.Ready(occurrence, number) {
+	needs, declared := demandOf(s.def.Reserved()), s.def.Estimate.Seconds()
+	item := e.waitingWork(b, s.number, s.occurrence, e.workLeft(s.occurrence))
+	waiting := e.OpenTasks(s.occurrence, s.number)
+	for _, t := range s.tasks {
+		if t.done() || len(t.runs) == 0 {
 			continue
 		}
-		needs, declared := demandOf(s.def.Reserved()), s.def.Estimate.Seconds()
-		left := e.objective(occurrence).Add(-e.criticalPaths[number]).Sub(b.at)
-		item := waitingWork{
-			share: e.share, excess: e.excess, priority: e.Priority, order: e.workLeft(occurrence),
-			lateAfter: left, tooLateAfter: left + (lateFactor-1)*e.objectiveSpan(),
+		waiting--
+		if s.def.SavesProgress && e.Priority > 0 {
+			// It may be preempted.
+			continue
 		}
-		waiting := false
-		for _, t := range s.tasks {
-			switch {
-			case t.done():
-			case len(t.runs) == 0:
-				waiting = true
-				item.work.add(needs, mean*declared, deviation*declared)
-			case s.def.SavesProgress && e.Priority > 0:
-				// It may be preempted.
-			default:
-				if seconds := mean*declared - b.at.Sub(t.runs[0].sentAt).Seconds(); seconds > 0 {
-					b.begun.add(needs, seconds, deviation*declared)
-				}
-			}
+		if seconds := mean*declared - b.at.Sub(t.runs[0].sentAt).Seconds(); seconds > 0 {
+			b.begun.add(needs, seconds, deviation*declared)
+		}
+	}
+	item.work.addTimes(waiting, needs, mean*declared, deviation*declared)
+	if waiting > 0 && item.classAt(0) != classTooLate {
+		b.items = append(b.items, item)
+	}
+}
+
+// addUpcoming adds the tasks of the upcoming occurrences that could run. Those of one class are
+// taken to come into a later one together with the first.
+func (p *Pool) addUpcoming(b *backlog, e *jobEntry) {
+	mean, deviation := p.estimates.spread(e.Queue)
+	for _, u := range e.upcomingSteps(b.at) {
+		s := &e.Steps[u.number]
+		if s.LongRunning {
+			continue
 		}
-		if waiting && item.classAt(0) != classTooLate {
+		needs, declared := demandOf(s.Reserved()), s.Estimate.Seconds()
+		for _, r := range u.classes {
+			tasks := e.upcomingWithin(u.number, r.next, r.end) * s.Tasks
+			if tasks == 0 || r.class == classTooLate {
+				continue
+			}
+			first := e.nextUpcoming(u.number, r.next, r.end)
+			item := e.waitingWork(b, u.number, first, e.workLeft(first))
+			item.work.addTimes(tasks, needs, mean*declared, deviation*declared)
 			b.items = append(b.items, item)
 		}
 	}
 }
 
+// waitingWork returns what orders a step of an occurrence in the backlog.
+func (e *jobEntry) waitingWork(b *backlog, number, occurrence int, order int64) waitingWork {
+	left := e.objective(occurrence).Add(-e.criticalPaths[number]).Sub(b.at)
+	return waitingWork{
+		share: e.share, excess: e.excess, priority: e.Priority, order: order,
+		lateAfter: left, tooLateAfter: left + (lateFactor-1)*e.objectiveSpan(),
+	}
+}
+
 // before returns the work that comes before that of a new job while that has a class.
 func (b *backlog) before(job *waitingWork, class int) work {
 	sum := b.begun
--- a/internal/coordination/schedule/bench_test.go
+++ b/internal/coordination/schedule/bench_test.go
@@ -72,7 +72,7 @@
 			p, _ := loadedPool(b, 30, kept-4*30)
 			var changed *jobEntry
 			for _, e := range p.jobs {
-				if e.liveRuns > 0 {
+				if len(e.runs) > 0 {
 					changed = e
 					break
 				}
--- a/internal/coordination/schedule/copies.go
+++ b/internal/coordination/schedule/copies.go
@@ -12,12 +12,9 @@
 // other task waits for capacity.
 func (p *Pool) startCopies(now time.Time, orders *Orders) {
 	for _, e := range p.openJobs() {
-		for _, s := range e.steps {
-			if !s.def.Speculative || s.def.Gang || s.def.LongRunning {
-				continue
-			}
-			for _, t := range s.tasks {
-				p.startCopy(t, now, orders)
+		for _, r := range e.runs {
+			if def := r.task.step.def; def.Speculative && !def.Gang && !def.LongRunning {
+				p.startCopy(r.task, now, orders)
 			}
 		}
 	}
@@ -32,7 +29,7 @@
 	if first.adopted || now.Sub(first.startedAt) < time.Duration(copyFactor*float64(expected)) {
 		return
 	}
-	if !p.admits(t.step, t) {
+	if !p.admits(t.step, 1, p.restarting(t)) {
 		return
 	}
 	h := p.bestHost(t, now)
--- a/internal/coordination/schedule/cordon_test.go
+++ b/internal/coordination/schedule/cordon_test.go
@@ -192,7 +192,7 @@
 	h.add(idB, testStep(1, 9000))
 	h.plan()
 	next, _ := h.plan()
-	if placed := len(next) + len(h.pool.jobs[idB].steps); placed == 0 {
+	if placed := len(next) + len(h.pool.jobs[idB].runs); placed == 0 {
 		t.Error("nothing was placed in the room of a cancelled task")
 	}
 }
--- a/internal/coordination/schedule/fair_share.go
+++ b/internal/coordination/schedule/fair_share.go
@@ -127,17 +127,13 @@
 func (p *Pool) addToShare(e *jobEntry) {
 	f := p.shares.of(e.Organisation)
 	e.share = f
-	for _, s := range e.steps {
-		for _, t := range s.tasks {
-			for _, r := range t.runs {
-				f.used = f.used.Plus(r.needs)
-			}
-		}
+	for _, r := range e.runs {
+		f.used = f.used.Plus(r.needs)
 	}
 	f.bucket.add(e)
 	switch {
 	case e.Ended():
-	case e.liveRuns == 0 && !e.started && e.queueable():
+	case len(e.runs) == 0 && !e.started && e.queueable():
 		f.queue.add(e)
 	default:
 		p.shares.activate(e)
--- a/internal/coordination/schedule/gang.go
+++ b/internal/coordination/schedule/gang.go
@@ -7,24 +7,25 @@
 
 // placeGang places all tasks of a gang under one run number, or none of them.
 func (p *Pool) placeGang(c candidate, now time.Time, orders *Orders) bool {
-	number := c.step.gangRun + 1
-	tasks := c.step.startableTasks(now)
-	for _, t := range tasks {
+	s := c.step
+	number := max(s.gangRun+1, (&task{step: s}).nextRunNumber(p.token))
+	for _, t := range s.tasks {
 		number = max(number, t.nextRunNumber(p.token))
 	}
-	undo := p.beforeGang(c.step.job, tasks, orders)
+	undo := []func(){p.beforeGang(s, orders)}
 	var placed []*run
-	for _, t := range tasks {
+	for index := range s.def.Tasks {
+		t := s.task(index)
 		h := p.bestHost(t, now)
 		if h == nil {
 			break
 		}
-		lastStart := h.lastStart
-		undo = append(undo, func() { h.lastStart = lastStart })
+		lastStart, lastRun := h.lastStart, t.lastRun
+		undo = append(undo, func() { h.lastStart, t.lastRun = lastStart, lastRun })
 		placed = append(placed, p.start(t, h, number, now, orders))
 	}
-	if len(placed) == len(tasks) {
-		c.step.gangRun = number
+	if len(placed) == s.def.Tasks {
+		s.gangRun = number
 		return true
 	}
 	for _, r := range placed {
@@ -36,21 +37,29 @@
 	return false
 }
 
-// beforeGang returns functions that restore what placing a gang changes beside its runs. A gang for
-// which there is no room must leave nothing to record, or that would be done with each plan.
-func (p *Pool) beforeGang(e *jobEntry, tasks []*task, orders *Orders) []func() {
-	hasPlacements := orders.HasPlacements
-	started := e.started
+// beforeGang returns a function that restores what placing a gang changes beside its runs and
+// hosts. A gang for which there is no room must leave nothing to record, or that would be done with
+// each plan, and nothing to keep.
+func (p *Pool) beforeGang(s *step, orders *Orders) func() {
+	e, hadState, tasks := s.job, s.hasState(), slices.Clone(s.tasks)
+	hasPlacements, started := orders.HasPlacements, e.started
+	_, opened := e.occurrences[s.occurrence]
 	_, dirty := p.dirty[e.ID]
-	undo := []func(){func() {
+	return func() {
 		orders.HasPlacements, e.started = hasPlacements, started
 		if !dirty {
 			delete(p.dirty, e.ID)
 		}
-	}}
-	for _, t := range tasks {
-		lastRun := t.lastRun
-		undo = append(undo, func() { t.lastRun = lastRun })
+		s.tasks = tasks
+		switch {
+		case !opened:
+			delete(e.openSteps.active, s)
+			e.close(s.occurrence)
+		case !hadState:
+			delete(e.openSteps.active, s)
+			if e.isScheduled() {
+				e.noteIdle(e.open(s.occurrence), s.number)
+			}
+		}
 	}
-	return undo
 }
--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -183,7 +183,7 @@
 	e, ok := p.jobs[jobID(row.Task)]
 	var t *task
 	if ok {
-		t = e.task(row.Task)
+		t = e.openTask(row.Task)
 	}
 	if t == nil {
 		if _, known := h.unknownRuns[key]; !known {
--- a/internal/coordination/schedule/inherit.go
+++ b/internal/coordination/schedule/inherit.go
@@ -14,8 +14,11 @@
 	if !ok {
 		h = p.addHost(worker.Report{ID: placed.Host, Pool: p.name}, p.tenureStart, p.inheritedExpiry)
 	}
-	t := e.task(placed.Task)
-	if t == nil || e.Ended() {
+	if e.Ended() {
+		return
+	}
+	t := e.openTask(placed.Task)
+	if t == nil {
 		return
 	}
 	if h.contactedAt.IsZero() {
@@ -39,7 +42,7 @@
 		return
 	}
 	for _, c := range e.CrashedTasks() {
-		t := e.task(worker.TaskName{Job: string(e.ID), Occurrence: c.Occurrence, Step: c.Step, Index: c.Index})
+		t := e.openTask(worker.TaskName{Job: string(e.ID), Occurrence: c.Occurrence, Step: c.Step, Index: c.Index})
 		p.suspects[t] = struct{}{}
 		t.weakCrashes = c.Crashes
 		if c.Crashes >= blamedCrashes {
--- a/internal/coordination/schedule/load.go
+++ b/internal/coordination/schedule/load.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/coordination/quota"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
 
@@ -59,12 +60,15 @@
 	for id, h := range p.hosts {
 		load.Hosts[id] = h.load(now)
 	}
-	var longRunning, homeless []packedTask
+	var longRunning, homeless []packedTasks
 	for _, e := range p.openJobs() {
-		for occurrence := e.firstOpenOccurrence(); occurrence < e.OccurrenceCount() && !now.Before(e.EarliestStart(occurrence)); occurrence++ {
-			p.occurrenceLoad(&load, e, occurrence, now)
-			longRunning, homeless = p.longRunningTasks(longRunning, homeless, e, occurrence)
-		}
+		e.stepsWithState(now, func(s *step) {
+			e.stepLoad(&load, s, now)
+			longRunning, homeless = p.longRunningTasks(longRunning, homeless, s)
+		})
+		e.upcomingLoad(&load, now)
+		upcoming := e.upcomingLongRunning(now)
+		longRunning, homeless = append(longRunning, upcoming...), append(homeless, upcoming...)
 	}
 	capacity := p.largestHost()
 	load.SpreadHosts = max(load.SpreadHosts, hostsToPack(longRunning, capacity))
@@ -75,41 +79,47 @@
 	return load
 }
 
-func (p *Pool) occurrenceLoad(load *Load, e *jobEntry, occurrence int, now time.Time) {
-	state := e.Occurrence(occurrence)
-	if state.Done {
-		return
+// stepLoad adds the demand of a step with state.
+func (e *jobEntry) stepLoad(load *Load, s *step, now time.Time) {
+	open := e.OpenTasks(s.occurrence, s.number)
+	e.addDemand(s.def, open)
+	if e.class(s, e.objective(s.occurrence), now) != classTooLate {
+		addLoad(load, s.def, open)
 	}
-	for number := range e.Steps {
-		if state.StepDone(number) || !e.Ready(occurrence, number) {
-			continue
-		}
-		s := e.step(occurrence, number)
-		e.addDemand(s, state.OpenTasks(number))
-		if e.class(s, e.objective(occurrence), now) == classTooLate {
-			continue
-		}
-		needs := s.def.Reserved()
-		for range state.OpenTasks(number) {
-			load.Demand = load.Demand.Plus(needs)
-		}
-		if s.def.LongRunning {
-			for range s.def.Tasks {
-				load.LongRunning = load.LongRunning.Plus(needs)
+}
+
+// upcomingLoad adds the demand of the upcoming occurrences.
+func (e *jobEntry) upcomingLoad(load *Load, now time.Time) {
+	for _, u := range e.upcomingSteps(now) {
+		def := &e.Steps[u.number]
+		for _, r := range u.classes {
+			tasks := e.upcomingWithin(u.number, r.next, r.end) * def.Tasks
+			e.addDemand(def, tasks)
+			if tasks > 0 && r.class != classTooLate {
+				addLoad(load, def, tasks)
 			}
 		}
-		load.SpreadHosts = max(load.SpreadHosts, s.minHosts(state.OpenTasks(number)))
 	}
 }
 
+// addLoad adds the demand of so many tasks of a step that are not done, of one occurrence or several.
+func addLoad(load *Load, def *job.Step, tasks int) {
+	needs := def.Reserved().Times(tasks)
+	load.Demand = load.Demand.Plus(needs)
+	if def.LongRunning {
+		load.LongRunning = load.LongRunning.Plus(needs)
+	}
+	load.SpreadHosts = max(load.SpreadHosts, minHosts(def, min(tasks, def.Tasks)))
+}
+
 // minHosts returns how many hosts a step needs for its open tasks under MaxPerHost.
 // Long-running tasks and gangs need them all at once, other tasks may run in rounds.
-func (s *step) minHosts(open int) int {
-	if s.def.MaxPerHost == 0 {
+func minHosts(def *job.Step, open int) int {
+	if def.MaxPerHost == 0 {
 		return 0
 	}
-	perHost := s.def.MaxPerHost
-	if !s.def.LongRunning && !s.def.Gang {
+	perHost := def.MaxPerHost
+	if !def.LongRunning && !def.Gang {
 		perHost *= spreadRounds
 	}
 	return (open + perHost - 1) / perHost
--- a/internal/coordination/schedule/organisation_load.go
+++ b/internal/coordination/schedule/organisation_load.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/coordination/quota"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
 
@@ -33,12 +34,11 @@
 
 // addDemand adds the open tasks of a step to what its organisation wants. Those that come too late
 // count: they run if there is room.
-func (e *jobEntry) addDemand(s *step, tasks int) {
+func (e *jobEntry) addDemand(def *job.Step, tasks int) {
 	if e.organisation == nil || !e.organisation.isLimited() {
 		return
 	}
-	needs, n := s.def.Needs, int64(tasks)
-	e.organisation.demand = e.organisation.demand.Plus(worker.Resources{CPU: n * needs.CPU, MemoryMB: n * needs.MemoryMB, Accelerators: n * needs.Accelerators})
+	e.organisation.demand = e.organisation.demand.Plus(def.Needs.Times(tasks))
 }
 
 // organisationLoads adds the use of the organisations with a quota to a load, and clears their demand.
--- a/internal/coordination/schedule/organisation_report.go
+++ b/internal/coordination/schedule/organisation_report.go
@@ -11,22 +11,67 @@
 // quotaReportInterval is how often a pool logs that the quota of an organisation keeps tasks waiting.
 const quotaReportInterval = time.Second
 
-// admitsNow is admits for tasks that are to be placed; it counts those that have to wait.
-func (p *Pool) admitsNow(s *step, now time.Time, tasks ...*task) bool {
-	if p.admits(s, tasks...) {
+// quotaWait is how long the tasks of a step that have no state have been kept waiting by a quota,
+// as of the plan in which they last were.
+type quotaWait struct {
+	since time.Time
+	plan  int64
+}
+
+// admitsNow is admits for a task that is to be placed; it counts those that have to wait. If the
+// task has no state, these are all like it in its step.
+func (p *Pool) admitsNow(t *task, now time.Time) bool {
+	if p.admits(t.step, 1, p.restarting(t)) {
 		return true
 	}
-	o := s.job.organisation
-	if o.blocked == 0 {
-		o.blockedJob = s.job.ID
+	if t.kept() {
+		p.waitsForQuota(t.step, 1, now, t)
+	} else {
+		p.waitsForQuota(t.step, t.step.freshTasks(), now)
+	}
+	return false
+}
+
+// admitsGang is admitsNow for all tasks of a gang.
+func (p *Pool) admitsGang(s *step, now time.Time) bool {
+	open := s.job.OpenTasks(s.occurrence, s.number)
+	if p.admits(s, open, p.restarting(s.tasks...)) {
+		return true
+	}
+	p.waitsForQuota(s, open, now, s.tasks...)
+	return false
+}
+
+// waitsForQuota notes that so many tasks of a step are kept waiting, of which some have state.
+func (p *Pool) waitsForQuota(s *step, tasks int, now time.Time, withState ...*task) {
+	e := s.job
+	if e.organisation.blocked == 0 {
+		e.organisation.blockedJob = e.ID
 	}
-	o.blocked += len(tasks)
-	for _, t := range tasks {
+	e.organisation.blocked += tasks
+	for _, t := range withState {
 		if _, ok := p.organisations.waitingSince[t]; !ok {
 			p.organisations.waitingSince[t] = now
 		}
 	}
-	return false
+	if tasks == len(withState) {
+		return
+	}
+	w, ok := e.quotaWaits[s.number]
+	if !ok || w.plan < p.plans-1 {
+		w.since = now
+	}
+	if e.quotaWaits == nil {
+		e.quotaWaits = map[int]quotaWait{}
+	}
+	e.quotaWaits[s.number] = quotaWait{since: w.since, plan: p.plans}
+}
+
+// noteQuotaWait notes how long a task that is to be placed and has no state was kept waiting.
+func (p *Pool) noteQuotaWait(t *task) {
+	if w, ok := t.step.job.quotaWaits[t.step.number]; ok && w.plan >= p.plans-1 && !t.kept() {
+		p.organisations.waitingSince[t] = w.since
+	}
 }
 
 // reportQuotas logs which quotas keep tasks waiting, with what the decision was based on.
@@ -63,7 +108,8 @@
 	Part    float64 `json:"part"`
 	PartAge string  `json:"part-age"`
 	Used    float64 `json:"used"`
-	// Waiting is the number of tasks that the part kept waiting in the last plan.
+	// Waiting is the number of tasks that the part kept waiting in the last plan, without those of
+	// occurrences that the plan did not come to.
 	Waiting int `json:"waiting-for-quota"`
 }
 
--- a/internal/coordination/schedule/outcome.go
+++ b/internal/coordination/schedule/outcome.go
@@ -29,10 +29,11 @@
 	if !ok {
 		return
 	}
-	t := e.task(end.Task)
+	t := e.openTask(end.Task)
 	if t == nil {
 		return
 	}
+	defer t.forget()
 	e.started, e.begun = true, true
 	t.lastRun = max(t.lastRun, end.Run)
 	if !t.done() {
@@ -64,23 +65,28 @@
 	if t.step.def.LongRunning || e.Ended() {
 		return
 	}
-	tasks := []*task{t}
-	if t.step.def.Gang {
-		tasks = t.step.tasks
-	}
-	for _, member := range tasks {
-		if e.MarkDone(t.step.occurrence, t.step.number, member.index, now) {
-			p.markDirty(e)
-		}
-		for _, other := range member.runs {
-			if other != r && !t.step.def.Gang {
+	members := t.step.def.Tasks
+	if !t.step.def.Gang {
+		members = 1
+		for _, other := range t.runs {
+			if other != r {
 				p.stop(other, "copy-done")
 			}
 		}
 	}
+	for n := range members {
+		index := t.index
+		if t.step.def.Gang {
+			index = n
+		}
+		if e.MarkDone(t.step.occurrence, t.step.number, index, now) {
+			p.markDirty(e)
+		}
+	}
+	e.noteDone(t.step)
 	if e.AllDone() {
 		p.events.Event("job-done", "job", e.ID, "pool", p.name, "after", now.Sub(e.AcceptedAt),
-			"objective", e.objectiveSpan(), "tasks-stopped", e.liveRuns)
+			"objective", e.objectiveSpan(), "tasks-stopped", len(e.runs))
 		if e.share != nil && e.Occurrences == 0 && now.After(e.valueEnd(0)) {
 			e.share.tooLate++
 		}
@@ -122,21 +128,15 @@
 	if !t.step.def.Gang {
 		return e.Failures(t.step.occurrence, t.step.number, t.index)
 	}
-	runs := map[int64]struct{}{}
-	for _, member := range t.step.tasks {
-		for _, number := range e.Occurrence(t.step.occurrence).Steps[t.step.number].Tasks[member.index].FailedRuns {
-			runs[number] = struct{}{}
-		}
-	}
-	return len(runs)
+	return e.GangFailures(t.step.occurrence, t.step.number)
 }
 
 // attach adds a run to its host, task and job.
 func (p *Pool) attach(r *run) {
 	r.host.add(r)
-	r.task.runs = append(r.task.runs, r)
+	r.task.keep()
 	r.task.lastRun = max(r.task.lastRun, r.number)
-	r.task.step.job.liveRuns++
+	r.task.step.job.attach(r)
 	p.organisations.attached(r)
 	if f := r.task.step.job.share; f != nil {
 		f.used = f.used.Plus(r.needs)
@@ -151,13 +151,7 @@
 	}
 	r.host.remove(r)
 	t := r.task
-	for n, other := range t.runs {
-		if other == r {
-			t.runs = append(t.runs[:n], t.runs[n+1:]...)
-			break
-		}
-	}
-	t.step.job.liveRuns--
+	t.step.job.detach(r)
 	p.organisations.released(r)
 	if f := t.step.job.share; f != nil {
 		f.used = f.used.Minus(r.needs)
@@ -173,6 +167,7 @@
 		p.events.Event("run-lapsed", "task", r.name, "run", r.number, "host", r.host.report.ID, "heard", r.host.heardAt)
 		p.stopGangOf(r, "gang-lapsed")
 	}
+	t.forget()
 }
 
 // stop marks a run for stopping; the order goes out with the next plan.
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -19,14 +19,13 @@
 
 // place places the tasks that fit, the most urgent first.
 func (p *Pool) place(now time.Time, orders *Orders) {
+	p.plans++
 	r := round{now: now, orders: orders, lowest: p.leastUrgentPriority()}
 	p.placeSuspects(now, orders)
 	if p.shares != nil {
 		p.shares.placeByShare(p, &r)
 	} else {
-		for _, c := range p.candidates(now) {
-			p.placeCandidate(c, &r)
-		}
+		p.placeInOrder(p.candidates(now), &r)
 	}
 	p.reportQuotas(now)
 	if r.waiting {
@@ -36,6 +35,23 @@
 	p.startCopies(now, orders)
 }
 
+// placeInOrder places the tasks of candidates, which are in order, and of those that follow them.
+func (p *Pool) placeInOrder(found []candidate, r *round) {
+	following := minHeap[candidate]{less: func(a, b candidate) bool { return compareCandidates(a, b) < 0 }}
+	for len(found)+len(following.items) > 0 {
+		var c candidate
+		if len(found) == 0 || (len(following.items) > 0 && following.less(following.items[0], found[0])) {
+			c = following.pop()
+		} else {
+			c, found = found[0], found[1:]
+		}
+		p.placeCandidate(c, r)
+		if next, ok := c.following(); ok {
+			following.push(next)
+		}
+	}
+}
+
 // placeCandidate places the tasks of a candidate if there is room. It reports whether all could be
 // placed or have no room by what was tried before.
 func (p *Pool) placeCandidate(c candidate, r *round) bool {
@@ -45,7 +61,7 @@
 		}
 	}
 	switch {
-	case c.step.def.Gang && c.step.job.organisation != nil && !p.admitsNow(c.step, r.now, c.step.startableTasks(r.now)...):
+	case c.step.def.Gang && c.step.job.organisation != nil && !p.admitsGang(c.step, r.now):
 		// The quota keeps it waiting, not the lack of room.
 	case c.step.def.Gang:
 		r.waiting = !p.placeGang(c, r.now, r.orders) || r.waiting
@@ -65,8 +81,12 @@
 // placeTasks places a step's tasks one by one and reports whether there was room for all that the
 // quota admits.
 func (p *Pool) placeTasks(c candidate, now time.Time, orders *Orders) bool {
-	for _, t := range c.step.startableTasks(now) {
-		if c.step.job.organisation != nil && !p.admitsNow(c.step, now, t) {
+	for t := range c.step.startable(now) {
+		if c.step.job.organisation != nil && !p.admitsNow(t, now) {
+			if !t.kept() {
+				// The others without state are alike.
+				break
+			}
 			continue
 		}
 		h := p.unreserve(t)
@@ -139,6 +159,7 @@
 		sentAt: now, resumed: t.resumesFrom() != "", speed: fullSpeed, speedSent: fullSpeed, checkpoint: t.resumesFrom(),
 		placedAt: h.clockNow(now), earlierHangs: t.hangs,
 	}
+	p.noteQuotaWait(t)
 	p.attach(r)
 	h.startsInFlight++
 	h.lastStart = now
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -125,10 +125,10 @@
 	if s.def.MaxUnavailable == 0 {
 		return true
 	}
-	unavailable := 0
+	unavailable := s.def.Tasks - 1
 	for _, t := range s.tasks {
-		if t != leaving && !p.available(t, now) {
-			unavailable++
+		if t != leaving && p.available(t, now) {
+			unavailable--
 		}
 	}
 	return unavailable < s.def.MaxUnavailable
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -67,7 +67,7 @@
 	estimates estimates
 	// shares is nil if the configuration has no organisations.
 	shares *fairShares
-	// plans counts the plans by shares, over all configurations.
+	// plans counts the plans, and the changes from a configuration without organisations.
 	plans int64
 	// neighbours is nil unless interference is sampled.
 	neighbours *neighbours
@@ -117,12 +117,13 @@
 		return
 	}
 	e := &jobEntry{
-		Job: j, criticalPaths: j.CriticalPaths(), recordedState: j.FinalState(), steps: map[stepKey]*step{},
+		Job: j, criticalPaths: j.CriticalPaths(), recordedState: j.FinalState(), occurrences: map[int]*occurrence{},
 		started: j.AnyRunEnded() || len(j.Placements) > 0, begun: j.AnyRunEnded(), organisation: p.organisations.get(j.Organisation),
 	}
 	p.jobs[j.ID] = e
 	if !e.Ended() {
 		p.open[j.ID] = e
+		e.openBegun()
 	}
 	for _, placed := range j.Placements {
 		p.inherit(e, placed)
@@ -144,7 +145,7 @@
 	}
 	e.Cancel(now)
 	e.recordedState = job.Cancelled
-	p.events.Event("job-cancelled", "job", id, "pool", p.name, "runs", e.liveRuns)
+	p.events.Event("job-cancelled", "job", id, "pool", p.name, "runs", len(e.runs))
 }
 
 // State returns the state of a job as callers may see it: a final one only once it is recorded.
@@ -219,10 +220,10 @@
 	return n
 }
 
-// Forgotten is a job that was dropped, with the number of parts of its recorded progress.
+// Forgotten is a job that was dropped, with the numbers of the parts of its recorded progress.
 type Forgotten struct {
 	ID    job.ID
-	Parts int
+	Parts []int
 }
 
 // Forget drops jobs that ended more than Limits.EndedJobRetention ago and have no runs left,
@@ -232,7 +233,7 @@
 	defer p.mu.Unlock()
 	var forgotten []Forgotten
 	for id, e := range p.jobs {
-		if e.recordedState != "" && e.liveRuns == 0 && now.Sub(e.EndedAt) > p.limits.EndedJobRetention {
+		if e.recordedState != "" && len(e.runs) == 0 && now.Sub(e.EndedAt) > p.limits.EndedJobRetention {
 			delete(p.jobs, id)
 			delete(p.open, id)
 			delete(p.dirty, id)
--- a/internal/coordination/schedule/preempt.go
+++ b/internal/coordination/schedule/preempt.go
@@ -14,7 +14,7 @@
 		jobs = p.shares.activeJobs
 	}
 	for _, e := range jobs() {
-		if e.liveRuns > 0 {
+		if len(e.runs) > 0 {
 			lowest = max(lowest, e.Priority)
 		}
 	}
--- a/internal/coordination/schedule/rank.go
+++ b/internal/coordination/schedule/rank.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
 
 // candidate is a step with tasks that may be started now.
@@ -16,6 +17,8 @@
 	objective time.Time
 	// work is what is left to do in the job's occurrence, in core-milliseconds.
 	work int64
+	// upcoming is nil if the occurrence is open.
+	upcoming *upcoming
 }
 
 // The classes of candidates, in the order in which they are placed.
@@ -37,66 +40,29 @@
 	return found
 }
 
-// eachCandidate calls yield for the steps of open jobs with tasks that could start.
+// eachCandidate calls yield for the steps of open jobs with tasks that could start. Of the upcoming
+// occurrences, it does so for the first one only, see candidate.following.
 func eachCandidate(open map[job.ID]*jobEntry, now time.Time, yield func(candidate)) {
 	for _, e := range open {
-		for occurrence := e.firstOpenOccurrence(); occurrence < e.OccurrenceCount() && !now.Before(e.EarliestStart(occurrence)); occurrence++ {
-			e.occurrenceCandidates(occurrence, now, yield)
-		}
-	}
-}
-
-// firstOpenOccurrence returns the first occurrence that is not done, or the last one.
-func (e *jobEntry) firstOpenOccurrence() int {
-	for e.firstOpenHint < e.OccurrenceCount()-1 && e.Occurrence(e.firstOpenHint).Done {
-		e.firstOpenHint++
-	}
-	return e.firstOpenHint
-}
-
-func (e *jobEntry) occurrenceCandidates(occurrence int, now time.Time, yield func(candidate)) {
-	state := e.Occurrence(occurrence)
-	if state.Done {
-		return
-	}
-	for number := range e.Steps {
-		if state.StepDone(number) || !e.Ready(occurrence, number) {
+		e.stepsWithState(now, func(s *step) {
+			if !s.hasStartable(now) {
+				return
+			}
+			c := candidate{step: s, objective: e.objective(s.occurrence), work: e.workLeft(s.occurrence)}
+			c.class = e.class(s, c.objective, now)
+			yield(c)
+		})
+		if e.awaitsAdvice() {
 			continue
 		}
-		s := e.step(occurrence, number)
-		if !s.hasStartable(now) {
-			continue
+		for _, u := range e.upcomingSteps(now) {
+			if c, ok := u.next(); ok {
+				yield(c)
+			}
 		}
-		c := candidate{step: s, objective: e.objective(occurrence), work: e.workLeft(occurrence)}
-		c.class = e.class(s, c.objective, now)
-		yield(c)
 	}
 }
 
-// hasStartable reports whether startableTasks returns any.
-func (s *step) hasStartable(now time.Time) bool {
-	for _, t := range s.tasks {
-		if ok := t.startable(now) && !t.needsTrial(); ok != s.def.Gang {
-			return ok
-		}
-	}
-	return s.def.Gang
-}
-
-// startableTasks returns the tasks to start. Of a gang, it returns all or none.
-func (s *step) startableTasks(now time.Time) []*task {
-	var tasks []*task
-	for _, t := range s.tasks {
-		if t.startable(now) && !t.needsTrial() {
-			tasks = append(tasks, t)
-		}
-	}
-	if s.def.Gang && len(tasks) < len(s.tasks) {
-		return nil
-	}
-	return tasks
-}
-
 // class returns the class of a step, by when its occurrence can still be done.
 func (e *jobEntry) class(s *step, objective, now time.Time) int {
 	if s.def.LongRunning {
@@ -117,20 +83,16 @@
 // workLeft returns the declared work of an occurrence's tasks that are not done, in
 // core-milliseconds.
 func (e *jobEntry) workLeft(occurrence int) int64 {
-	state := e.Occurrence(occurrence)
-	if state.Done {
-		return 0
-	}
 	work := int64(0)
 	for n := range e.Steps {
-		work += int64(state.OpenTasks(n)) * stepWork(&e.Steps[n])
+		work += stepWork(&e.Steps[n], e.OpenTasks(occurrence, n))
 	}
 	return work
 }
 
-// stepWork returns the declared work of one task of a step in core-milliseconds.
-func stepWork(s *job.Step) int64 {
-	return s.Needs.CPU * s.Estimate.Milliseconds() / 1000
+// stepWork returns the declared work of tasks of a step in core-milliseconds.
+func stepWork(s *job.Step, tasks int) int64 {
+	return worker.Resources{CPU: s.Needs.CPU * s.Estimate.Milliseconds() / 1000}.Times(tasks).CPU
 }
 
 func compareCandidates(a, b candidate) int {
--- a/internal/coordination/schedule/record.go
+++ b/internal/coordination/schedule/record.go
@@ -60,18 +60,14 @@
 // whatever the job's state, since Recorded is what releases them.
 func (e *jobEntry) placements(pendingStarts []*run) ([]jobs.Placement, []*run) {
 	var placed []jobs.Placement
-	for _, s := range e.steps {
-		for _, t := range s.tasks {
-			for _, r := range t.runs {
-				if !e.Ended() {
-					placed = append(placed, jobs.Placement{
-						Task: r.name, Run: r.number, Host: r.host.report.ID, Incarnation: r.host.incarnation, PlacedAt: r.placedAt,
-					})
-				}
-				if r.unsent && !r.queued {
-					pendingStarts = append(pendingStarts, r)
-				}
-			}
+	for _, r := range e.runs {
+		if !e.Ended() {
+			placed = append(placed, jobs.Placement{
+				Task: r.name, Run: r.number, Host: r.host.report.ID, Incarnation: r.host.incarnation, PlacedAt: r.placedAt,
+			})
+		}
+		if r.unsent && !r.queued {
+			pendingStarts = append(pendingStarts, r)
 		}
 	}
 	return placed, pendingStarts
@@ -131,5 +127,5 @@
 	e.Fail(now)
 	p.markDirty(e)
 	p.hasGivenUp = true
-	p.events.Event("job-failed", "job", id, "pool", p.name, "reason", "record-refused", "runs", e.liveRuns)
+	p.events.Event("job-failed", "job", id, "pool", p.name, "reason", "record-refused", "runs", len(e.runs))
 }
--- a/internal/coordination/schedule/share_load_test.go
+++ b/internal/coordination/schedule/share_load_test.go
@@ -210,8 +210,11 @@
 	eachCandidate(l.pool.openJobs(), l.now, func(c candidate) {
 		if needs := c.step.def.Reserved(); !tried[needs] {
 			tried[needs] = true
-			if l.pool.bestHost(c.step.startableTasks(l.now)[0], l.now) != nil {
-				l.idleWaits++
+			for t := range c.step.startable(l.now) {
+				if l.pool.bestHost(t, l.now) != nil {
+					l.idleWaits++
+				}
+				break
 			}
 		}
 	})
--- a/internal/coordination/schedule/share_place.go
+++ b/internal/coordination/schedule/share_place.go
@@ -49,7 +49,6 @@
 
 // prepare collects the candidates of each organisation and orders the organisations.
 func (s *fairShares) prepare(p *Pool, r *round) {
-	p.plans++
 	s.plan = p.plans
 	s.capacity = worker.Resources{}
 	for _, h := range p.hosts {
@@ -108,6 +107,9 @@
 	}
 	before := f.used
 	fits := p.placeCandidate(c, r)
+	if next, ok := c.following(); ok {
+		f.active.push(next)
+	}
 	f.updateLevel(s.capacity)
 	if f.used != before {
 		s.served = f
--- a/internal/coordination/schedule/suspects.go
+++ b/internal/coordination/schedule/suspects.go
@@ -107,7 +107,7 @@
 				orders.PlacementQueries = append(orders.PlacementQueries, q)
 			}
 		}
-		if !p.admitsNow(t.step, now, t) {
+		if t.step.job.organisation != nil && !p.admitsNow(t, now) {
 			continue
 		}
 		p.unreserve(t)
--- a/internal/coordination/schedule/task.go
+++ b/internal/coordination/schedule/task.go
@@ -20,32 +20,34 @@
 	organisation *organisation
 	// recordedState is the final state that is recorded in the log, or empty.
 	recordedState job.State
-	steps         map[stepKey]*step
-	// firstOpenHint is the occurrence from which firstOpenOccurrence searches; all
-	// before it are done.
-	firstOpenHint int
+	// occurrences holds those that are open: see occurrence.
+	occurrences map[int]*occurrence
+	openSteps   openSteps
+	// unadvised counts the steps of which the placement check has not answered any query.
+	unadvised int
+	// quotaWaits holds for each step how long its tasks without state have waited for a quota.
+	quotaWaits map[int]quotaWait
 	// share is that of the job's organisation, nil if the configuration has none; excess is set if
 	// the job exceeds the organisation's weight.
 	share  *fairShare
 	excess bool
 	// activeSince is the plan in or after which the job left the waiting queue, 0 while it is there.
 	activeSince int64
-	// liveRuns counts the runs attached to hosts, including those being stopped.
-	liveRuns int
+	// runs holds the runs attached to hosts, including those being stopped.
+	runs []*run
 }
 
 // endRecorded reports whether the end of the job is recorded, so that later owners know it.
 func (e *jobEntry) endRecorded() bool { return e.recordedState != "" }
 
-type stepKey struct{ occurrence, number int }
-
 // step is a step of one occurrence, with its tasks and their runs.
 type step struct {
 	job        *jobEntry
 	def        *job.Step
 	occurrence int
 	number     int
-	tasks      []*task
+	// tasks holds, in ascending order, the tasks with runs or other state, until they are done.
+	tasks []*task
 	// gangRun is the current run number of a gang, which all its members share.
 	gangRun int64
 	// gangCheckpoint is the newest checkpoint of any member of a gang, of the run gangCheckpointRun.
@@ -204,28 +206,6 @@
 // fullSpeed is the speed of a run that is not throttled, in per cent.
 const fullSpeed = 100
 
-// step returns the runtime state of a step, created on first use.
-func (e *jobEntry) step(occurrence, number int) *step {
-	key := stepKey{occurrence, number}
-	if s, ok := e.steps[key]; ok {
-		return s
-	}
-	s := &step{job: e, def: &e.Steps[number], occurrence: occurrence, number: number}
-	s.tasks = make([]*task, s.def.Tasks)
-	for n := range s.tasks {
-		s.tasks[n] = &task{step: s, index: n}
-	}
-	e.steps[key] = s
-	return s
-}
-
-func (e *jobEntry) task(name worker.TaskName) *task {
-	if !e.HasTask(name.Occurrence, name.Step, name.Index) {
-		return nil
-	}
-	return e.step(name.Occurrence, name.Step).tasks[name.Index]
-}
-
 // objective returns the time by which an occurrence has to be done to be on time.
 func (e *jobEntry) objective(occurrence int) time.Time {
 	return e.EarliestStart(occurrence).Add(e.objectiveSpan())
--- a/internal/coordination/schedule/waiting_queue.go
+++ b/internal/coordination/schedule/waiting_queue.go
@@ -46,11 +46,12 @@
 
 // add adds a job of which nothing has been started.
 func (q *waitingQueue) add(e *jobEntry) {
+	o := e.open(0)
 	for number := range e.Steps {
 		if len(e.Steps[number].DependsOn) > 0 {
 			continue
 		}
-		c := candidate{step: e.step(0, number), objective: e.objective(0), work: e.workLeft(0)}
+		c := candidate{step: e.step(o, number), objective: e.objective(0), work: e.workLeft(0)}
 		q.changes.push(classChange{e.AcceptedAt, c})
 		q.least = leastOf(q.least, c.step.def.Reserved())
 	}
--- a/internal/jobhost/record_keys.go
+++ b/internal/jobhost/record_keys.go
@@ -57,7 +57,7 @@
 	records := make([]keyedlog.Record, 0, 3*len(gone))
 	for _, g := range gone {
 		records = append(records, keyedlog.Record{Key: keyJob + string(g.ID)}, keyedlog.Record{Key: keyCancel + string(g.ID)})
-		for part := range max(1, g.Parts) {
+		for _, part := range g.Parts {
 			records = append(records, keyedlog.Record{Key: progressKey(g.ID, part)})
 		}
 	}
--- a/internal/protocol/job/job.go
+++ b/internal/protocol/job/job.go
@@ -115,6 +115,19 @@
 	return j.FirstAt.Add(time.Duration(occurrence) * j.Interval)
 }
 
+// DueOccurrences returns how many occurrences may start by now; these are the first ones.
+func (j *Job) DueOccurrences(now time.Time) int {
+	passed := now.Sub(j.EarliestStart(0))
+	switch {
+	case passed < 0:
+		return 0
+	case j.Occurrences == 0 || j.Interval == 0 || passed >= maxTime:
+		return j.OccurrenceCount()
+	default:
+		return int(min(int64(passed/j.Interval)+1, int64(j.OccurrenceCount())))
+	}
+}
+
 // CriticalPaths returns for each step the length of the critical path from that step to the end
 // of the job: the largest sum of estimates along a chain of dependent steps, that step
 // included.
--- a/internal/protocol/job/validate.go
+++ b/internal/protocol/job/validate.go
@@ -14,9 +14,9 @@
 	// MaxSteps bounds the steps of a job.
 	MaxSteps = 256
 	// MaxTasks bounds the tasks of all steps of a job together.
-	MaxTasks = 10_000
+	MaxTasks = 10_000_000
 	// MaxOccurrences bounds the occurrences of a job.
-	MaxOccurrences = 10_000
+	MaxOccurrences = 10_000_000
 	// maxResource bounds each resource that a task may ask for, in the units of
 	// worker.Resources.
 	maxResource = 1 << 30
--- a/internal/protocol/worker/worker.go
+++ b/internal/protocol/worker/worker.go
@@ -33,6 +33,21 @@
 	return Resources{r.CPU + o.CPU, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
 }
 
+// maxTotal is the most of a resource that Times returns. A sum of thousands of such amounts does
+// not overflow.
+const maxTotal = 1 << 44
+
+// Times returns n times the resources, at most maxTotal of each; n must not be negative.
+func (r Resources) Times(n int) Resources {
+	times := func(amount int64) int64 {
+		if amount > 0 && int64(n) > maxTotal/amount {
+			return maxTotal
+		}
+		return amount * int64(n)
+	}
+	return Resources{times(r.CPU), times(r.MemoryMB), times(r.Accelerators)}
+}
+
 // Minus returns the difference.
 func (r Resources) Minus(o Resources) Resources {
 	return Resources{r.CPU - o.CPU, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
--- a/internal/state/jobs/job.go
+++ b/internal/state/jobs/job.go
@@ -4,31 +4,30 @@
 package jobs
 
 import (
+	"iter"
+	"maps"
 	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
 
-// Job is a submission and its recorded progress.
+// Job is a submission and its recorded progress. It takes memory for the tasks that have progress
+// and are not done in turn, however many occurrences and tasks the submission asks for.
 type Job struct {
 	*job.Job
+
 	Cancelled bool
 	Failed    bool
 	// EndedAt is zero until the job has ended.
 	EndedAt time.Time
-
 	// Placements are the runs that may be on hosts, as last recorded in the log.
 	Placements []Placement
 
-	occurrences map[int]*Occurrence
-	done        int
-
-	// tasksPerPart is how many tasks a part of the progress covers, 0 for all. written holds a
-	// checksum of each part that may be in the log, 0 if it is to be written again, and parts is one
-	// more than the highest part ever.
-	tasksPerPart, parts int
-	written             map[int]uint64
+	// begun holds the occurrences that have progress and are not done.
+	begun map[int]*occurrence
+	done  indexSet
+	parts progressParts
 }
 
 // Placement is a run and its host. It is recorded before the run is started.
@@ -42,72 +41,104 @@
 	PlacedAt time.Duration
 }
 
-// Occurrence is the progress of one pass through a job's steps.
-type Occurrence struct {
-	Number int
-	Done   bool
-	// Steps is empty once the occurrence is done.
-	Steps []Step
-}
+// occurrence is the progress of one pass through a job's steps.
+type occurrence struct{ steps []step }
 
-// Step is the progress of a step's tasks in one occurrence.
-type Step struct {
-	Tasks []Task
-	done  int
+// step is the progress of a step's tasks in one occurrence.
+type step struct {
+	done indexSet
+	// failing holds the lost runs of tasks that are not done.
+	failing map[int]*lostRuns
 }
 
-// Task is the recorded progress of a task. What is recorded is never undone, except for
-// CrashedRuns.
-type Task struct {
-	Done bool
-	// FailedRuns are the numbers of the runs that have failed.
-	FailedRuns []int64
-	// CrashedRuns are the numbers of the runs that were lost because their host crashed,
-	// since the task last worked well.
-	CrashedRuns []int64
+// lostRuns are the numbers of a task's runs that did not succeed.
+type lostRuns struct {
+	failed []int64
+	// crashed are those that were lost because their host crashed, since the task last worked well.
+	crashed []int64
 }
 
 // New returns a job without progress.
 func New(j *job.Job) *Job {
-	return &Job{Job: j, occurrences: map[int]*Occurrence{}, written: map[int]uint64{}}
+	return &Job{Job: j, begun: map[int]*occurrence{}, parts: newProgressParts()}
 }
 
-// Occurrence returns the progress of an occurrence; number must be below
+// begin returns the progress of an occurrence that is not done; number must be below
 // OccurrenceCount.
-func (j *Job) Occurrence(number int) *Occurrence {
-	if o, ok := j.occurrences[number]; ok {
-		return o
-	}
-	o := &Occurrence{Number: number, Steps: make([]Step, len(j.Steps))}
-	for n := range o.Steps {
-		o.Steps[n].Tasks = make([]Task, j.Steps[n].Tasks)
+func (j *Job) begin(number int) *occurrence {
+	o, ok := j.begun[number]
+	if !ok {
+		o = &occurrence{steps: make([]step, len(j.Steps))}
+		j.begun[number] = o
 	}
-	j.occurrences[number] = o
 	return o
 }
 
+// progress returns the progress of a step, or nil if its occurrence has none or is done.
+func (j *Job) progress(occurrence, number int) *step {
+	o, ok := j.begun[occurrence]
+	if !ok {
+		return nil
+	}
+	return &o.steps[number]
+}
+
 // HasTask reports whether the job has a task with these indexes.
 func (j *Job) HasTask(occurrence, step, index int) bool {
 	return occurrence >= 0 && occurrence < j.OccurrenceCount() && step >= 0 && step < len(j.Steps) &&
 		index >= 0 && index < j.Steps[step].Tasks
 }
 
+// Begun yields the occurrences that have progress and are not done, in no order.
+func (j *Job) Begun() iter.Seq[int] { return maps.Keys(j.begun) }
+
+// OccurrenceDone reports whether all tasks of an occurrence have succeeded.
+func (j *Job) OccurrenceDone(number int) bool { return j.done.has(number) }
+
+// NextOpen returns the first occurrence from number on that is not done; it may be
+// OccurrenceCount.
+func (j *Job) NextOpen(number int) int { return j.done.next(number) }
+
+// DoneWithin returns how many occurrences from first on and below end are done.
+func (j *Job) DoneWithin(first, end int) int { return j.done.count(span{first, end}) }
+
 // TaskDone reports whether a task has succeeded.
 func (j *Job) TaskDone(occurrence, step, index int) bool {
-	o := j.Occurrence(occurrence)
-	return o.Done || o.Steps[step].Tasks[index].Done
+	s := j.progress(occurrence, step)
+	return (s != nil && s.done.has(index)) || j.OccurrenceDone(occurrence)
 }
 
-// StepDone reports whether all tasks of a step have succeeded.
-func (o *Occurrence) StepDone(step int) bool {
-	return o.Done || o.Steps[step].done == len(o.Steps[step].Tasks)
+// NextOpenTask returns the first task of a step from index on that has not succeeded; it may be
+// the number of the step's tasks.
+func (j *Job) NextOpenTask(occurrence, step, index int) int {
+	if j.OccurrenceDone(occurrence) {
+		return j.Steps[step].Tasks
+	}
+	if s := j.progress(occurrence, step); s != nil {
+		return s.done.next(index)
+	}
+	return index
+}
+
+// OpenTasks returns the number of tasks of a step that are not done.
+func (j *Job) OpenTasks(occurrence, step int) int {
+	switch s := j.progress(occurrence, step); {
+	case s != nil:
+		return j.Steps[step].Tasks - s.done.size
+	case j.OccurrenceDone(occurrence):
+		return 0
+	default:
+		return j.Steps[step].Tasks
+	}
 }
 
+// StepDone reports whether all tasks of a step have succeeded.
+func (j *Job) StepDone(occurrence, step int) bool { return j.OpenTasks(occurrence, step) == 0 }
+
 // Ready reports whether all steps that a step depends on are done.
 func (j *Job) Ready(occurrence, step int) bool {
-	o := j.Occurrence(occurrence)
 	for _, dependency := range j.Steps[step].DependsOn {
-		if !o.StepDone(dependency) {
+		if !j.StepDone(occurrence, dependency) {
 			return false
 		}
 	}
@@ -116,49 +147,53 @@
 
 // MarkDone marks a task as done and reports whether it was not before.
 func (j *Job) MarkDone(occurrence, step, index int, now time.Time) bool {
-	o := j.Occurrence(occurrence)
-	if o.Done || o.Steps[step].Tasks[index].Done {
+	if j.OccurrenceDone(occurrence) {
+		return false
+	}
+	o := j.begin(occurrence)
+	s := &o.steps[step]
+	if !s.done.add(index) {
 		return false
 	}
-	o.Steps[step].Tasks[index].Done = true
-	o.Steps[step].done++
-	for n := range o.Steps {
-		if !o.StepDone(n) {
+	delete(s.failing, index)
+	j.taskChanged(occurrence, step, index)
+	for number := range j.Steps {
+		if !j.StepDone(occurrence, number) {
 			return true
 		}
 	}
-	o.Done = true
-	o.Steps = nil
-	j.done++
-	if j.AllDone() {
-		j.EndedAt = now
-	}
+	j.markOccurrenceDone(occurrence, now)
 	return true
 }
 
-// MarkFailed adds a failed run of a task and reports whether it was not known before.
-func (j *Job) MarkFailed(occurrence, step, index int, run int64) bool {
-	o := j.Occurrence(occurrence)
-	if o.Done {
-		return false
+// markOccurrenceDone marks an occurrence as done that may have progress.
+func (j *Job) markOccurrenceDone(number int, now time.Time) {
+	if j.OccurrenceDone(number) {
+		return
 	}
-	t := &o.Steps[step].Tasks[index]
-	for _, known := range t.FailedRuns {
-		if known == run {
-			return false
-		}
+	j.occurrenceChanged(number)
+	delete(j.begun, number)
+	j.done.add(number)
+	if j.AllDone() {
+		j.EndedAt = now
 	}
-	t.FailedRuns = append(t.FailedRuns, run)
-	return true
 }
 
-// Failures returns the number of failed runs of a task; 0 once its occurrence is done.
-func (j *Job) Failures(occurrence, step, index int) int {
-	o := j.Occurrence(occurrence)
-	if o.Done {
-		return 0
+// lost returns the lost runs of a task, or nil if it is done.
+func (j *Job) lost(occurrence, step, index int) *lostRuns {
+	if j.TaskDone(occurrence, step, index) {
+		return nil
+	}
+	s := &j.begin(occurrence).steps[step]
+	t, ok := s.failing[index]
+	if !ok {
+		if s.failing == nil {
+			s.failing = map[int]*lostRuns{}
+		}
+		t = &lostRuns{}
+		s.failing[index] = t
 	}
-	return len(o.Steps[step].Tasks[index].FailedRuns)
+	return t
 }
 
 // Fail ends the job as failed, because one of its tasks has failed too often.
@@ -177,7 +212,7 @@
 }
 
 // AllDone reports whether all occurrences are done.
-func (j *Job) AllDone() bool { return j.done == j.OccurrenceCount() }
+func (j *Job) AllDone() bool { return j.done.size == j.OccurrenceCount() }
 
 // Ended reports whether the job is done, failed or cancelled.
 func (j *Job) Ended() bool { return j.Cancelled || j.Failed || j.AllDone() }
@@ -195,11 +230,3 @@
 		return ""
 	}
 }
-
-// OpenTasks returns the number of tasks of a step that are not done.
-func (o *Occurrence) OpenTasks(step int) int {
-	if o.Done {
-		return 0
-	}
-	return len(o.Steps[step].Tasks) - o.Steps[step].done
-}
--- a/internal/state/jobs/progress.go
+++ b/internal/state/jobs/progress.go
@@ -21,143 +21,256 @@
 	Data []byte
 }
 
+// progressParts is how the progress of a job is divided into records.
+type progressParts struct {
+	// tasks is how many tasks a part covers, 0 for all.
+	tasks int
+	// written holds a checksum of each part that may be in the log, 0 if it is to be written again.
+	written map[int]uint64
+	// changed holds the parts to be encoded again, placed those that had placements when they last
+	// were, and taken those last returned by ChangedParts.
+	changed, placed map[int]struct{}
+	taken           []Part
+}
+
+func newProgressParts() progressParts {
+	return progressParts{written: map[int]uint64{}, changed: map[int]struct{}{}, placed: map[int]struct{}{}}
+}
+
 // SplitProgress makes the progress of a job be recorded in parts of so many tasks each; 0 makes it
 // one part.
-func (j *Job) SplitProgress(tasks int) { j.tasksPerPart = tasks }
+func (j *Job) SplitProgress(tasks int) {
+	j.parts.tasks = tasks
+	for p := range j.done.within(span{0, j.OccurrenceCount()}) {
+		for number := p.first; number < p.end; number++ {
+			j.partChanged(j.part(number, 0))
+		}
+	}
+	for number := range j.begun {
+		j.occurrenceChanged(number)
+	}
+}
+
+// Parts returns the numbers of the parts that may be in the log, at least 0.
+func (j *Job) Parts() []int {
+	numbers := []int{0}
+	for number, sum := range j.parts.written {
+		if number > 0 && sum != deletedPart {
+			numbers = append(numbers, number)
+		}
+	}
+	return numbers
+}
+
+// tasksOfOccurrence returns how many tasks an occurrence has.
+func (j *Job) tasksOfOccurrence() int { return j.firstTask(len(j.Steps)) }
+
+// firstTask returns the number of the first task of a step among those of an occurrence.
+func (j *Job) firstTask(step int) int {
+	first := 0
+	for n := range step {
+		first += j.Steps[n].Tasks
+	}
+	return first
+}
+
+// part returns the part that a task is always in, by its number among those of its occurrence.
+func (j *Job) part(occurrence, task int) int {
+	if j.parts.tasks == 0 {
+		return 0
+	}
+	return (occurrence*j.tasksOfOccurrence() + task) / j.parts.tasks
+}
 
-// Parts returns one more than the highest number of a part that was read or written.
-func (j *Job) Parts() int { return j.parts }
+func (j *Job) partChanged(part int) { j.parts.changed[part] = struct{}{} }
+
+func (j *Job) taskChanged(occurrence, step, index int) {
+	j.partChanged(j.part(occurrence, j.firstTask(step)+index))
+}
+
+func (j *Job) occurrenceChanged(number int) {
+	for part := j.part(number, 0); part <= j.part(number, j.tasksOfOccurrence()-1); part++ {
+		j.partChanged(part)
+	}
+}
 
 // MarshalProgress encodes all progress and the placements in one part.
 func (j *Job) MarshalProgress() ([]byte, error) {
 	whole := *j
-	whole.tasksPerPart = 0
-	data, err := proto.Marshal(whole.progressParts()[0])
+	whole.parts.tasks = 0
+	data, err := proto.Marshal(whole.encodePart(0, j.Placements))
 	return data, errors.Wrap(err, "marshal the progress of the job")
 }
 
 // ChangedParts encodes the parts that differ from what was last returned or read.
 func (j *Job) ChangedParts() ([]Part, error) {
-	var changed []Part
-	parts := j.progressParts()
-	for number, m := range parts {
-		data, err := proto.Marshal(m)
+	placements := map[int][]Placement{}
+	for _, p := range j.Placements {
+		part := j.part(p.Task.Occurrence, j.firstTask(p.Task.Step)+p.Task.Index)
+		placements[part] = append(placements[part], p)
+	}
+	// The first part may have changed in what is no progress of tasks.
+	j.partChanged(0)
+	for part := range j.parts.placed {
+		j.partChanged(part)
+	}
+	clear(j.parts.placed)
+	for part := range placements {
+		j.partChanged(part)
+		j.parts.placed[part] = struct{}{}
+	}
+	j.parts.taken = nil
+	for _, number := range slices.Sorted(maps.Keys(j.parts.changed)) {
+		part, changed, err := j.changedPart(number, placements[number])
 		if err != nil {
-			return nil, errors.Wrap(err, "marshal the progress of the job")
+			return nil, err
 		}
-		if sum := xxhash.Sum64(data); j.written[number] != sum || sum == 0 {
-			j.written[number] = sum
-			changed = append(changed, Part{number, data})
+		if changed {
+			j.parts.taken = append(j.parts.taken, part)
 		}
-		j.parts = max(j.parts, number+1)
 	}
-	for number, sum := range j.written {
-		if _, ok := parts[number]; !ok && sum != deletedPart {
-			j.written[number] = deletedPart
-			changed = append(changed, Part{Number: number})
+	clear(j.parts.changed)
+	return j.parts.taken, nil
+}
+
+// changedPart encodes a part and reports whether it has to be written.
+func (j *Job) changedPart(number int, placements []Placement) (Part, bool, error) {
+	sum, written := j.parts.written[number]
+	m := j.encodePart(number, placements)
+	if number > 0 && len(m.GetOccurrences())+len(m.GetRanges())+len(m.GetPlacements()) == 0 {
+		if !written || sum == deletedPart {
+			return Part{}, false, nil
 		}
+		j.parts.written[number] = deletedPart
+		return Part{Number: number}, true, nil
 	}
-	slices.SortFunc(changed, func(a, b Part) int { return a.Number - b.Number })
-	return changed, nil
+	data, err := proto.Marshal(m)
+	if err != nil {
+		return Part{}, false, errors.Wrap(err, "marshal the progress of the job")
+	}
+	next := xxhash.Sum64(data)
+	if written && sum == next && sum > deletedPart {
+		return Part{}, false, nil
+	}
+	j.parts.written[number] = next
+	return Part{number, data}, true, nil
 }
 
-// PartsNotWritten makes the next ChangedParts return all parts, since the last ones may not have
-// been recorded.
+// PartsNotWritten makes the next ChangedParts return those of the last one again, since they may
+// not have been recorded.
 func (j *Job) PartsNotWritten() {
-	for number := range j.written {
-		j.written[number] = 0
+	for _, part := range j.parts.taken {
+		j.parts.written[part.Number] = 0
+		j.partChanged(part.Number)
 	}
 }
 
 // deletedPart stands for the checksum of a part that has nothing to record any more.
 const deletedPart = 1
 
-// layout returns how many tasks an occurrence has and the number of the first one of each step.
-func (j *Job) layout() (tasks int, first []int) {
-	first = make([]int, len(j.Steps))
-	for n := range j.Steps {
-		first[n] = tasks
-		tasks += j.Steps[n].Tasks
-	}
-	return tasks, first
-}
-
-// progressParts returns the parts that have something to record. Each task is always in the same
-// part.
-func (j *Job) progressParts() map[int]*wire.JobProgress {
-	head := &wire.JobProgress{Failed: j.Failed, Pool: j.Pool}
-	if !j.EndedAt.IsZero() {
-		head.EndedMs = j.EndedAt.UnixMilli()
-	}
-	parts := map[int]*wire.JobProgress{0: head}
-	tasks, first := j.layout()
-	part := func(occurrence, task int) *wire.JobProgress {
-		number := 0
-		if j.tasksPerPart > 0 {
-			number = (occurrence*tasks + task) / j.tasksPerPart
+// encodePart returns the record of a part with its placements. Its occurrences and ranges are in
+// ascending order.
+func (j *Job) encodePart(number int, placements []Placement) *wire.JobProgress {
+	m := &wire.JobProgress{}
+	if number == 0 {
+		m.Failed, m.Pool = j.Failed, j.Pool
+		if !j.EndedAt.IsZero() {
+			m.EndedMs = j.EndedAt.UnixMilli()
 		}
-		if parts[number] == nil {
-			parts[number] = &wire.JobProgress{}
-		}
-		return parts[number]
 	}
-	for _, number := range slices.Sorted(maps.Keys(j.occurrences)) {
-		o := j.occurrences[number]
-		if o.Done {
-			m := part(number, 0)
-			m.Occurrences = append(m.Occurrences, &wire.OccurrenceProgress{Number: int32(number), Done: true}) //nolint:gosec // Bounded by job.MaxOccurrences.
-			continue
+	tasks := j.tasksOfOccurrence()
+	bounds := span{0, tasks * j.OccurrenceCount()}
+	if j.parts.tasks > 0 {
+		bounds = span{number * j.parts.tasks, (number + 1) * j.parts.tasks}
+	}
+	// An occurrence that is done is recorded where its first task is.
+	for p := range j.done.within(span{(bounds.first + tasks - 1) / tasks, (bounds.end + tasks - 1) / tasks}) {
+		for done := p.first; done < p.end; done++ {
+			m.Occurrences = append(m.Occurrences, &wire.OccurrenceProgress{Number: int32(done), Done: true}) //nolint:gosec // Bounded by job.MaxOccurrences.
 		}
-		for step := range o.Steps {
-			o.addRanges(step, func(index int) *wire.JobProgress { return part(number, first[step]+index) })
+	}
+	for _, begun := range j.begunWithin(span{bounds.first / tasks, (bounds.end-1)/tasks + 1}) {
+		first := begun * tasks
+		for step := range j.Steps {
+			covered := span{max(0, bounds.first-first), min(j.Steps[step].Tasks, bounds.end-first)}
+			if r := j.begun[begun].steps[step].encode(covered); r != nil {
+				r.Occurrence, r.Step = int32(begun), int32(step) //nolint:gosec // Bounded by job.Job.Validate.
+				m.Ranges = append(m.Ranges, r)
+			}
+			first += j.Steps[step].Tasks
 		}
 	}
-	for _, p := range j.Placements {
-		m := part(p.Task.Occurrence, first[p.Task.Step]+p.Task.Index)
+	for _, p := range placements {
 		m.Placements = append(m.Placements, &wire.Placement{
 			Occurrence: int32(p.Task.Occurrence), Step: int32(p.Task.Step), Index: int32(p.Task.Index), //nolint:gosec // Bounded by job.Job.Validate.
 			Run: p.Run, Host: string(p.Host), Incarnation: int64(p.Incarnation), PlacedMs: p.PlacedAt.Milliseconds(),
 		})
 	}
-	return parts
+	return m
 }
 
-// addRanges adds the progress of a step's tasks to their parts, with one range in each.
-func (o *Occurrence) addRanges(step int, part func(index int) *wire.JobProgress) {
-	var open *wire.TaskRange
-	var openPart *wire.JobProgress
-	for index := range o.Steps[step].Tasks {
-		t := &o.Steps[step].Tasks[index]
-		if !t.hasProgress() {
-			continue
+// begunWithin returns the begun occurrences within bounds, in ascending order.
+func (j *Job) begunWithin(bounds span) []int {
+	var numbers []int
+	if bounds.end-bounds.first < len(j.begun) {
+		for number := bounds.first; number < bounds.end; number++ {
+			if _, ok := j.begun[number]; ok {
+				numbers = append(numbers, number)
+			}
 		}
-		if m := part(index); m != openPart {
-			open = &wire.TaskRange{Occurrence: int32(o.Number), Step: int32(step), First: int32(index)} //nolint:gosec // Bounded by job.Job.Validate.
-			m.Ranges, openPart = append(m.Ranges, open), m
+		return numbers
+	}
+	for number := range j.begun {
+		if number >= bounds.first && number < bounds.end {
+			numbers = append(numbers, number)
 		}
-		t.addTo(open, index)
 	}
+	slices.Sort(numbers)
+	return numbers
 }
 
-func (t *Task) hasProgress() bool {
-	return t.Done || len(t.FailedRuns) > 0 || len(t.CrashedRuns) > 0
-}
-
-// addTo adds the progress of a task to the range that it belongs to.
-func (t *Task) addTo(m *wire.TaskRange, index int) {
-	if t.Done {
-		n := index - int(m.GetFirst())
-		for len(m.GetDone()) <= n/8 {
-			m.Done = append(m.Done, 0)
+// encode returns the progress of the tasks within bounds, or nil if there is none.
+func (s *step) encode(bounds span) *wire.TaskRange {
+	if bounds.first >= bounds.end {
+		return nil
+	}
+	var failing []int
+	for index := range s.failing {
+		if index >= bounds.first && index < bounds.end {
+			failing = append(failing, index)
 		}
-		m.Done[n/8] |= 1 << (n % 8)
 	}
-	if len(t.FailedRuns) > 0 {
-		m.Failures = append(m.Failures, &wire.TaskRuns{Index: int32(index), Runs: t.FailedRuns}) //nolint:gosec // Bounded by job.MaxTasks.
+	slices.Sort(failing)
+	first := bounds.end
+	if len(failing) > 0 {
+		first = failing[0]
+	}
+	for p := range s.done.within(bounds) {
+		first = min(first, p.first)
+		break
+	}
+	if first == bounds.end {
+		return nil
+	}
+	m := &wire.TaskRange{First: int32(first)} //nolint:gosec // Bounded by job.MaxTasks.
+	for p := range s.done.within(bounds) {
+		for n := p.first - first; n < p.end-first; n++ {
+			for len(m.GetDone()) <= n/8 {
+				m.Done = append(m.Done, 0)
+			}
+			m.Done[n/8] |= 1 << (n % 8)
+		}
 	}
-	if len(t.CrashedRuns) > 0 {
-		m.Crashes = append(m.Crashes, &wire.TaskRuns{Index: int32(index), Runs: t.CrashedRuns}) //nolint:gosec // Bounded by job.MaxTasks.
+	for _, index := range failing {
+		t := s.failing[index]
+		if len(t.failed) > 0 {
+			m.Failures = append(m.Failures, &wire.TaskRuns{Index: int32(index), Runs: t.failed}) //nolint:gosec // Bounded by job.MaxTasks.
+		}
+		if len(t.crashed) > 0 {
+			m.Crashes = append(m.Crashes, &wire.TaskRuns{Index: int32(index), Runs: t.crashed}) //nolint:gosec // Bounded by job.MaxTasks.
+		}
 	}
+	return m
 }
 
 // ApplyProgress merges the first part of the progress into the job, see ApplyParts.
@@ -171,7 +284,8 @@
 	var all []*wire.JobProgress
 	ended := time.Time{}
 	for number, data := range parts {
-		j.written[number], j.parts = 0, max(j.parts, number+1)
+		j.parts.written[number] = 0
+		j.partChanged(number)
 		m := &wire.JobProgress{}
 		if err := proto.Unmarshal(data, m); err != nil {
 			return errors.Wrapf(err, "unmarshal part %d of the job's progress", number)
@@ -255,24 +369,17 @@
 
 func (j *Job) applyOccurrence(m *wire.OccurrenceProgress, ended time.Time) {
 	number := int(m.GetNumber())
-	for step := range j.Steps {
-		for index := range j.Steps[step].Tasks {
-			if m.GetDone() || markedDone(m.GetSteps(), step, index) {
+	if m.GetDone() {
+		j.markOccurrenceDone(number, ended)
+		return
+	}
+	for step, s := range m.GetSteps() {
+		for index := range min(j.Steps[step].Tasks, 8*len(s.GetDone())) {
+			if s.GetDone()[index/8]&(1<<(index%8)) != 0 {
 				j.MarkDone(number, step, index, ended)
 			}
 		}
-	}
-	for step, s := range m.GetSteps() {
 		j.applyRuns(number, step, s.GetFailures(), j.MarkFailed)
 		j.applyRuns(number, step, s.GetCrashes(), j.MarkCrashed)
 	}
 }
-
-// markedDone reports whether a progress record marks a task as done.
-func markedDone(steps []*wire.StepProgress, step, index int) bool {
-	if step >= len(steps) {
-		return false
-	}
-	done := steps[step].GetDone()
-	return index/8 < len(done) && done[index/8]&(1<<(index%8)) != 0
-}
