intake: record the cancel of a job that is not known

An entry host was stopped with the submission unread; the client left at its time limit and cancelled at another host; the first one woke, and all nine tasks ran.

Cause: a cancel of a job that no owner knew was answered and nothing of it kept (cancel-unknown in the log of the second host).

Now the cancel is recorded in all partitions before it is answered, with the time and what its caller may see. A job that comes later is cancelled as it is taken, and its own cancel recorded, so that successors know of it once the revocation is dropped. Cancels recorded while an owner is silent are kept in the same way; they stayed for ever if there was no such job.

--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -24,6 +24,8 @@
 type Recorder interface {
 	Submit(ctx context.Context, j *job.Job) error
 	Cancel(ctx context.Context, partition int, id job.ID) error
+	// Revoke records the cancel of a job that the partition may not know yet.
+	Revoke(ctx context.Context, partition int, id job.ID, r Revocation) error
 }
 
 // OwnerClient queries the owners of the partitions that hold the pools' jobs; ok is false while
@@ -43,6 +45,24 @@
 	Organisation string
 }
 
+// Revocation cancels a job that may still come, if the caller may see it then.
+type Revocation struct {
+	At    time.Time
+	Scope Scope
+}
+
+// Scope is which jobs a caller may see.
+type Scope struct {
+	// Restricted is set if those are only the jobs of no organisation and of Organisation.
+	Restricted   bool
+	Organisation string
+}
+
+// Sees reports whether a job is among them.
+func (s Scope) Sees(status Status) bool {
+	return !s.Restricted || status.Organisation == "" || status.Organisation == s.Organisation
+}
+
 // Caller is who calls, by which configuration, and about which queue.
 type Caller struct {
 	Configuration *queue.Configuration
@@ -54,10 +74,7 @@
 // restricted reports whether the caller may see some jobs only.
 func (c *Caller) restricted() bool { return c.Configuration.RequiresKeys }
 
-// sees reports whether the caller may see a job.
-func (c *Caller) sees(s Status) bool {
-	return !c.restricted() || s.Organisation == "" || s.Organisation == c.Organisation
-}
+func (c *Caller) scope() Scope { return Scope{c.restricted(), c.Organisation} }
 
 // Events logs one structured line per request.
 type Events interface {
@@ -147,7 +164,7 @@
 	for n, partition := range i.owners.Partitions(caller.Queue.Pool) {
 		status, known, ok := i.owners.State(ctx, partition, id)
 		switch {
-		case known && caller.sees(status):
+		case known && caller.scope().Sees(status):
 			return jobLookup{partition: partition, state: status.State, known: true}, true
 		case known:
 			hidden = true
@@ -160,8 +177,10 @@
 }
 
 // Cancel records the cancel of a job unless the job has ended; it returns false if there is
-// no such job that the caller may see. If the owner does not answer, the cancel is recorded for
-// whichever job has the ID, except where callers may see some jobs only: then it is refused.
+// no such job that the caller may see. If the job is not known, its submission may still be on the
+// way, at an entry host that is slow or was paused, so that the cancel is recorded in all partitions,
+// for a job that the caller may see. If the owner does not answer, it returns true, or refuses the
+// request where callers may see some jobs only.
 func (i *Intake) Cancel(ctx context.Context, caller Caller, id job.ID) (bool, error) {
 	q, version := caller.Queue, caller.Configuration.Version
 	search := i.search
@@ -169,32 +188,37 @@
 		search = i.searchUntilAnswered
 	}
 	found, ok := search(ctx, &caller, id)
-	if ok && !found.known {
-		i.events.Event("cancel-unknown", "job", id, "queue", q.Name, "config", version, "hidden", found.hidden)
-		return false, nil
-	}
-	if !ok && caller.restricted() {
+	var err error
+	switch {
+	case !ok && caller.restricted():
 		return false, ownerUnavailable(q)
-	}
-	if found.state.Ended() {
+	case found.known && found.state.Ended():
 		return true, nil
+	case found.known:
+		err = i.recorder.Cancel(ctx, found.partition, id)
+	case !found.hidden:
+		err = i.revoke(ctx, &caller, id)
 	}
-	err := i.cancelIn(ctx, q, found, id)
-	i.events.Event("cancel-asked", "job", id, "queue", q.Name, "config", version, "state", found.state, "known", found.known, "error", err)
-	return true, err
-}
-
-// cancelIn records the cancel in the partition that has the job, or in all if that is not known.
-func (i *Intake) cancelIn(ctx context.Context, q *queue.Queue, found jobLookup, id job.ID) error {
-	if found.known {
-		return i.recorder.Cancel(ctx, found.partition, id)
+	i.events.Event("cancel-asked", "job", id, "queue", q.Name, "config", version, "state", found.state, "known", found.known,
+		"hidden", found.hidden, "owner-answered", ok, "error", err)
+	return found.known || !ok, err
+}
+
+// revoke records in all partitions that a job is cancelled should it still come.
+func (i *Intake) revoke(ctx context.Context, caller *Caller, id job.ID) error {
+	partitions := i.owners.Partitions(caller.Queue.Pool)
+	errs := make(chan error, len(partitions))
+	r := Revocation{At: i.now(), Scope: caller.scope()}
+	for _, partition := range partitions {
+		go func() { errs <- i.recorder.Revoke(ctx, partition, id, r) }()
 	}
-	for _, partition := range i.owners.Partitions(q.Pool) {
-		if err := i.recorder.Cancel(ctx, partition, id); err != nil {
-			return err
+	var first error
+	for range partitions {
+		if err := <-errs; err != nil && first == nil {
+			first = err
 		}
 	}
-	return nil
+	return first
 }
 
 // Waiting returns the number of the queue's jobs of which no task has started.
--- a/internal/coordination/intake/intake_test.go
+++ b/internal/coordination/intake/intake_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,6 +24,9 @@
 	jobs      map[int]map[job.ID]Status
 	cancelled []string
 
+	mu      sync.Mutex
+	revoked []string
+
 	silentUntil time.Time
 }
 
@@ -32,6 +37,13 @@
 	return nil
 }
 
+func (f *fakeOwners) Revoke(_ context.Context, partition int, id job.ID, r Revocation) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revoked = append(f.revoked, fmt.Sprint(partition, " ", id, " ", r.Scope))
+	return nil
+}
+
 func (f *fakeOwners) Partitions(string) []int { return []int{1, 0} }
 
 func (f *fakeOwners) State(_ context.Context, partition int, id job.ID) (Status, bool, bool) {
@@ -106,3 +118,33 @@
 		}
 	})
 }
+
+// TestCancelOfUnknownJobIsRecorded guards against a job that runs although its cancel was answered,
+// since its submission was still on the way.
+func TestCancelOfUnknownJobIsRecorded(t *testing.T) {
+	const unknown job.ID = "00000000000000ff"
+	for _, c := range []struct {
+		name        string
+		caller      Caller
+		id          job.ID
+		silent      time.Duration
+		known       bool
+		wantRevoked []string
+	}{
+		{"unknown", callerOf("", false), unknown, 0, false, []string{"0 " + string(unknown) + " {false }", "1 " + string(unknown) + " {false }"}},
+		{"unknown, with a key", callerOf("one", true), unknown, 0, false, []string{"0 " + string(unknown) + " {true one}", "1 " + string(unknown) + " {true one}"}},
+		{"the owner is silent", callerOf("", false), ofOne, time.Hour, true, []string{"0 " + string(ofOne) + " {false }", "1 " + string(ofOne) + " {false }"}},
+		{"another's job", callerOf("two", true), ofOne, 0, false, nil},
+	} {
+		f := newFake()
+		f.silentUntil = time.Now().Add(c.silent)
+		known, err := New(f, f, f, time.Now).Cancel(t.Context(), c.caller, c.id)
+		if known != c.known || err != nil || len(f.cancelled) > 0 {
+			t.Errorf("%s: known %v, %v, cancelled %v; want %v", c.name, known, err, f.cancelled, c.known)
+		}
+		slices.Sort(f.revoked)
+		if diff := cmp.Diff(c.wantRevoked, f.revoked); diff != "" {
+			t.Errorf("%s: recorded for later submissions (-want +got):\n%s", c.name, diff)
+		}
+	}
+}
--- a/internal/emulator/site/callers.go
+++ b/internal/emulator/site/callers.go
@@ -144,12 +144,11 @@
 		if h := s.randomReadyHost(); h != nil {
 			ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 			c := h.Configuration()
-			known, err := h.Intake().Cancel(ctx, s.callerOfJob(c, queueName, id), id)
+			_, err := h.Intake().Cancel(ctx, s.callerOfJob(c, queueName, id), id)
 			cancel()
 			if err == nil {
-				if known {
-					s.ledger.cancelAcknowledged(id)
-				}
+				// Also one that was answered before the submission came.
+				s.ledger.cancelAcknowledged(id)
 				return
 			}
 		}
--- a/internal/jobhost/log_recorder.go
+++ b/internal/jobhost/log_recorder.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/hornbeammast/hornbeammast/internal/coordination/intake"
 	"github.com/hornbeammast/hornbeammast/internal/pause"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
@@ -65,7 +66,19 @@
 // Cancel records a cancel in a partition.
 func (s *submitter) Cancel(ctx context.Context, partition int, id job.ID) error {
 	began := time.Now()
-	err := s.add(ctx, jobsPartition(partition), keyedlog.Record{Key: keyCancel + string(id), Value: []byte{1}})
+	err := s.add(ctx, jobsPartition(partition), cancelRecord(id))
+	s.host.metrics.cancel.observe(time.Since(began), err)
+	return err
+}
+
+// Revoke records the cancel of a job that the partition may not know yet.
+func (s *submitter) Revoke(ctx context.Context, partition int, id job.ID, r intake.Revocation) error {
+	record, err := revocationRecord(id, r)
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	err = s.add(ctx, jobsPartition(partition), record)
 	s.host.metrics.cancel.observe(time.Since(began), err)
 	return err
 }
--- a/internal/jobhost/partition.go
+++ b/internal/jobhost/partition.go
@@ -23,6 +23,8 @@
 	keyProgress = "progress/"
 	keyCancel   = "cancel/"
 	keyIntake   = "intake/"
+	// keyRevocation is that of cancels of jobs that were not known.
+	keyRevocation = "revocation/"
 )
 
 // partition is one tenure of a TopicJobs partition: it runs all pools whose records the
@@ -60,6 +62,7 @@
 	// cancelled holds the jobs whose cancel record was read before the job itself, or
 	// before the partition was loaded.
 	cancelled map[job.ID]struct{}
+	revoked   revocations
 	// startPool runs a pool's runner until the tenure ends. The lock is held.
 	startPool func(*poolRunner)
 }
@@ -90,7 +93,7 @@
 	p := &partition{
 		host: host, id: id, token: token, ctx: ctx, cancel: cancel,
 		pools: map[string]*poolRunner{}, taken: map[job.ID]takenJob{}, loading: map[job.ID]*jobs.Job{},
-		progress: map[job.ID]map[int][]byte{}, cancelled: map[job.ID]struct{}{},
+		progress: map[job.ID]map[int][]byte{}, cancelled: map[job.ID]struct{}{}, revoked: revocations{},
 		held: map[job.ID]*heldJob{}, settling: map[string]bool{}, forwarded: map[job.ID]forwardedJob{},
 	}
 	p.intakes = handover.NewTable(id.Number, func(pool string) int { return host.partitionOf(pool).Number })
@@ -266,9 +269,10 @@
 		for _, g := range gone {
 			delete(p.taken, g.ID)
 		}
+		dropped := append(dropRecords(gone), p.revoked.expire(p.host.now().Add(-p.host.limits().EndedJobRetention))...)
 		maps.DeleteFunc(p.forwarded, func(_ job.ID, f forwardedJob) bool { return p.host.now().Sub(f.at) > forwardedRetention })
 		p.mu.Unlock()
-		p.recorder.drop(gone)
+		p.recorder.drop(dropped)
 	}
 }
 
--- a/internal/jobhost/partition_records.go
+++ b/internal/jobhost/partition_records.go
@@ -36,6 +36,8 @@
 		}
 	case keyCancel:
 		p.applyCancel(id)
+	case keyRevocation:
+		p.applyRevocation(id, record)
 	case keyIntake:
 		p.applyIntake(record)
 	default:
@@ -109,6 +111,7 @@
 		state.Cancel(p.host.now())
 		delete(p.cancelled, id)
 	}
+	p.revoke(state)
 	runner.pool.AddJob(state)
 	p.startPool(runner)
 	runner.signal()
--- a/internal/jobhost/record_keys.go
+++ b/internal/jobhost/record_keys.go
@@ -35,7 +35,7 @@
 		return "", "", 0
 	}
 	name, number, divided := strings.Cut(rest, "/")
-	if divided {
+	if divided && prefix+"/" != keyRevocation {
 		n, err := strconv.Atoi(number)
 		if err != nil || n < 1 || prefix+"/" != keyProgress {
 			return "", "", 0
--- a/internal/jobhost/recorder.go
+++ b/internal/jobhost/recorder.go
@@ -19,7 +19,7 @@
 type recorder struct {
 	partition *partition
 	wake      chan struct{}
-	dropped   chan []schedule.Forgotten
+	dropped   chan []keyedlog.Record
 	appender  *appender
 
 	mu sync.Mutex
@@ -43,7 +43,7 @@
 
 func newRecorder(p *partition) *recorder {
 	return &recorder{
-		partition: p, wake: make(chan struct{}, 1), dropped: make(chan []schedule.Forgotten, 1), appender: newAppender(p.host, p.id, p.token),
+		partition: p, wake: make(chan struct{}, 1), dropped: make(chan []keyedlog.Record, 1), appender: newAppender(p.host, p.id, p.token),
 	}
 }
 
@@ -54,14 +54,14 @@
 	}
 }
 
-// drop deletes the records of jobs from the log. If another drop is still queued, this
-// one is skipped and left to the sweep of a later owner.
-func (r *recorder) drop(gone []schedule.Forgotten) {
-	if len(gone) == 0 {
+// drop appends records that delete others. If another drop is still queued, this one is skipped
+// and left to the sweep of a later owner.
+func (r *recorder) drop(records []keyedlog.Record) {
+	if len(records) == 0 {
 		return
 	}
 	select {
-	case r.dropped <- gone:
+	case r.dropped <- records:
 	default:
 	}
 }
@@ -84,8 +84,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case gone := <-r.dropped:
-			for _, records := range r.partition.host.settings.LogLimits.Split(dropRecords(gone)) {
+		case dropped := <-r.dropped:
+			for _, records := range r.partition.host.settings.LogLimits.Split(dropped) {
 				if !r.append(ctx, records) {
 					break
 				}
@@ -124,7 +124,7 @@
 	lost, written := r.appendAll(ctx, records)
 	if written {
 		r.giveUp(lost)
-		r.partition.apply(withPrefix(records, keyCancel))
+		r.partition.apply(append(withPrefix(records, keyCancel), withPrefix(records, keyRevocation)...))
 	}
 	r.answer(submitted, lost, written)
 	for _, b := range batches {
--- a/internal/transport/jobs/server_test.go
+++ b/internal/transport/jobs/server_test.go
@@ -41,6 +41,10 @@
 
 func (f *fakeHost) Partitions(string) []int { return []int{0} }
 
+func (f *fakeHost) Revoke(ctx context.Context, partition int, id job.ID, _ intake.Revocation) error {
+	return f.Cancel(ctx, partition, id)
+}
+
 func (f *fakeHost) Cancel(_ context.Context, _ int, id job.ID) error {
 	f.cancelled = append(f.cancelled, id)
 	return f.err
