schedule: suspect hosts by contrast, not for what tasks do by nature

Cause: failures of three jobs without a success between them close a host for six seconds to all but one run. Long-running tasks never succeed, so their failures added up for ever, and all hosts were closed at once.

Now a long-running run that the host has borne for two seconds speaks for the host, suspected hosts get one run at a time beside such runs, and while more than half of the reachable hosts are suspected, suspicion closes none.

--- a/internal/coordination/schedule/blocked.go
+++ b/internal/coordination/schedule/blocked.go
@@ -16,21 +16,24 @@
 	}
 	p.blockedAt = now
 	var free worker.Resources
-	hosts, usable, runs, unsent, inFlight := 0, 0, 0, 0, 0
+	hosts, usable, suspected, runs, unsent, inFlight := 0, 0, 0, 0, 0, 0
 	for _, h := range p.hosts {
 		if !h.listed {
 			continue
 		}
 		hosts++
-		if h.usable(now) {
+		if p.usable(h, now) {
 			usable++
 			free = free.Plus(h.free())
 		}
+		if h.health.suspected(now) {
+			suspected++
+		}
 		runs += len(h.runs)
 		unsent += h.unsentRuns()
 		inFlight += h.startsInFlight
 	}
-	p.events.Event("tasks-blocked", "pool", p.name, "hosts", hosts, "usable", usable, "runs", runs, "unsent", unsent,
+	p.events.Event("tasks-blocked", "pool", p.name, "hosts", hosts, "usable", usable, "suspected", suspected, "runs", runs, "unsent", unsent,
 		"starts-in-flight", inFlight, "free-cpu", free.CPU, "free-memory-mb", free.MemoryMB)
 }
 
--- a/internal/coordination/schedule/health.go
+++ b/internal/coordination/schedule/health.go
@@ -37,8 +37,43 @@
 // suspected reports whether the host is suspected.
 func (h *health) suspected(now time.Time) bool { return now.Before(h.suspectUntil) }
 
-// admits reports whether the host may get another run. A suspected host gets one run at
-// a time, so that a success can clear it.
-func (h *health) admits(now time.Time, runs int) bool {
-	return !h.suspected(now) || runs == 0
+// admits reports whether the host may get another run beside those that may still fail at once. A
+// suspected host gets one such run at a time, so that a success can clear it.
+func (h *health) admits(now time.Time, unprovenRuns int) bool {
+	return !h.suspected(now) || unprovenRuns == 0
+}
+
+// proven reports whether the host has borne a run of a long-running task for so long that a failure is
+// the task's own. Such a run never succeeds.
+func (r *run) proven() bool { return r.task.step.def.LongRunning && r.workedFor() >= soundRunTime }
+
+// unprovenRuns returns how many runs may show by their end that the host is at fault.
+func (h *host) unprovenRuns() int {
+	n := 0
+	for _, r := range h.runs {
+		if !r.proven() {
+			n++
+		}
+	}
+	return n
+}
+
+// weighSuspicion ignores the suspicion of hosts while more than half of those that take tasks are
+// suspected: the cause is not in the hosts, and the others have no room for what these could run.
+func (p *Pool) weighSuspicion(now time.Time) {
+	reachable, suspected := 0, 0
+	for _, h := range p.hosts {
+		if !h.reachable() {
+			continue
+		}
+		reachable++
+		if h.health.suspected(now) {
+			suspected++
+		}
+	}
+	ignore := 2*suspected > reachable
+	if ignore != p.ignoreSuspicion {
+		p.events.Event("suspicion-weighed", "pool", p.name, "ignored", ignore, "suspected", suspected, "hosts", reachable)
+	}
+	p.ignoreSuspicion = ignore
 }
--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -126,10 +126,10 @@
 
 func (h *host) free() worker.Resources { return h.report.Capacity.Minus(h.used) }
 
-// usable reports whether a task may be placed on the host now.
-func (h *host) usable(now time.Time) bool {
-	return h.listed && h.confirmed && !h.report.Draining && !h.cordoned() &&
-		!now.Before(h.pausedUntil) && h.startsInFlight < maxStartsPerHost && h.health.admits(now, len(h.runs))
+// usable reports whether a task may be placed on a host now.
+func (p *Pool) usable(h *host, now time.Time) bool {
+	return h.reachable() && !now.Before(h.pausedUntil) && h.startsInFlight < maxStartsPerHost &&
+		(p.ignoreSuspicion || h.health.admits(now, h.unprovenRuns()))
 }
 
 // reachable reports whether a start whose placement is recorded may still be sent to the host.
--- a/internal/coordination/schedule/outcome.go
+++ b/internal/coordination/schedule/outcome.go
@@ -44,7 +44,7 @@
 	case worker.OutcomeDone:
 		p.taskDone(h, t, r, now)
 	case worker.OutcomeFailed:
-		p.taskFailed(h, t, end, now)
+		p.taskFailed(h, t, r, end, now)
 	}
 	if r != nil {
 		p.release(r, now, end.Outcome)
@@ -102,9 +102,13 @@
 }
 
 // taskFailed counts a failed run; at the maximum number of attempts the job fails.
-func (p *Pool) taskFailed(h *host, t *task, end *worker.EndedRun, now time.Time) {
+func (p *Pool) taskFailed(h *host, t *task, r *run, end *worker.EndedRun, now time.Time) {
 	e := t.step.job
-	h.health.failed(now, end.Task.Job)
+	if r != nil && r.proven() {
+		h.health.succeeded()
+	} else {
+		h.health.failed(now, end.Task.Job)
+	}
 	t.avoidHost = h.report.ID
 	t.notBefore = now.Add(retryPause)
 	if t.step.def.LongRunning || e.Ended() || t.done() {
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -54,6 +54,7 @@
 	p.expireReservations(now)
 	p.countPending(now)
 	p.clearSuspicions()
+	p.weighSuspicion(now)
 	p.stopUnneeded(now)
 	p.evacuate(now)
 	if p.neighbours != nil {
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -71,6 +71,8 @@
 	plans int64
 	// neighbours is nil unless interference is sampled.
 	neighbours *neighbours
+	// ignoreSuspicion is set while so many hosts are suspected that they don't differ by it.
+	ignoreSuspicion bool
 	// blockedAt is when it was last logged that tasks wait for room.
 	blockedAt time.Time
 }
