schedule: count the answer of a restarted worker as a sign of life

One owner all the while: the run of a task goes with its worker's crash, the owner starts it on another worker that has crashed too and is back, and 0.7 s later on a third, while the second run is at work.

Cause: the answer to that start has a clock that went back, so the owner knows that the worker has restarted, and waits for a list of the next life. Until it comes, the host was shown as last seen before the crash. The list of machines, from between crash and return, says that this worker has ended; the fleet owner compares it with that time, and the pool released all runs of the host, the accepted one as well. The renewal that is under way to the former life takes up to 1.7 s to fail, and no list comes in that time.

Now seeing the restart counts as seeing the worker.

Evidence: TestListOfMachinesFromBeforeTheRestart failed before ("the worker that answered the start was not seen", and a second start) and passes.

--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -121,8 +121,11 @@
 // it crashes, its connections break at once.
 func (h *host) wasCutOff() bool { return !h.confirmed && h.silentAt.Sub(h.heardAt) >= silenceOfACutOff }
 
-// lastSeen returns when the host was last known to be alive, in milliseconds as peers report it.
-func (h *host) lastSeen() time.Time { return later(h.knownAt, h.heardAt).Truncate(time.Millisecond) }
+// lastSeen returns when the host was last known to be alive, in milliseconds as peers report it. A
+// worker that is seen to have restarted is, though the answer does not count for its former life.
+func (h *host) lastSeen() time.Time {
+	return later(h.restartSeenAt, later(h.knownAt, h.heardAt)).Truncate(time.Millisecond)
+}
 
 func (h *host) free() worker.Resources { return h.report.Capacity.Minus(h.used) }
 
--- a/internal/coordination/schedule/incarnation_test.go
+++ b/internal/coordination/schedule/incarnation_test.go
@@ -219,6 +219,29 @@
 	}
 }
 
+// TestListOfMachinesFromBeforeTheRestart guards against a task that is started a second time: the list
+// of machines showed that the worker had ended, and the start was answered by the next incarnation.
+func TestListOfMachinesFromBeforeTheRestart(t *testing.T) {
+	h := newHarness(t, "h1", "h2")
+	h.advance(time.Second)
+	h.renew("h1", 1)
+	lastSeen := h.lastSeen("h1")
+	h.advance(time.Second)
+	h.add(idA, testStep(1, 1000))
+	starts, _ := h.plan()
+	if starts[0].Target.ID != "h1" {
+		t.Fatalf("started on %s; want h1", starts[0].Target.ID)
+	}
+	h.advance(2 * time.Millisecond)
+	h.pool.Started("h1", starts[0].Order, h.now, worker.StartReply{Clock: 400 * time.Millisecond}, false, nil)
+	if !h.lastSeen("h1").After(lastSeen) {
+		t.Error("the worker that answered the start was not seen")
+	}
+	h.pool.WorkerEnded("h1", lastSeen, h.now)
+	again, _ := h.plan()
+	h.wantStarts(again)
+}
+
 // TestLeaseOfTheFormerClockLastsLongestOnTheNextIncarnation guards against a task that is started a
 // second time: the end of the lease that came with the start is far in the future on the clock of
 // the next incarnation, which shortens it to the longest that it grants.
