schedule: ignore calls to a worker's former life that fail

A worker that was back counted as unresponsive again, for as long as its next renewal took: nothing was started there and its lease not extended, and the list of machines was asked whether it has ended. The call that failed was sent to its former life, on a connection that had gone silent, and took up to 1.7 s to fail.

Now a renewal that was sent before the present life was known says nothing of it. TestFailedCallToTheFormerIncarnation failed before ("the restarted worker counts as unresponsive") and passes.

--- a/internal/coordination/schedule/capacity_test.go
+++ b/internal/coordination/schedule/capacity_test.go
@@ -216,7 +216,7 @@
 		h.pool.SetChecksCapacity(checksCapacity)
 		h.pool.limits.ContactTime, h.pool.limits.ReportInterval = 3*time.Second, 1500*time.Millisecond
 		h.advance(time.Second)
-		h.pool.RenewalFailed("h1", h.now, errNoAnswer)
+		h.pool.RenewalFailed("h1", h.now, h.now, errNoAnswer)
 		h.advance(3 * time.Second)
 		h.renew("h1", 1)
 		h.add(idA, testStep(1, 1000))
--- a/internal/coordination/schedule/crash_test.go
+++ b/internal/coordination/schedule/crash_test.go
@@ -13,7 +13,7 @@
 
 // crash ends a host's worker as a crash does.
 func (h *harness) crash(id worker.ID) {
-	h.pool.RenewalFailed(id, h.now, errNoAnswer)
+	h.pool.RenewalFailed(id, h.now, h.now, errNoAnswer)
 	h.pool.WorkerEnded(id, h.lastSeen(id), h.now)
 }
 
@@ -231,7 +231,7 @@
 			h.wantStarts(starts, idA+".0.0.0")
 			h.accept(starts...)
 			h.advance(silentAfter)
-			h.pool.RenewalFailed("h1", h.now, errNoAnswer)
+			h.pool.RenewalFailed("h1", h.now, h.now, errNoAnswer)
 			h.advance(h.pool.limits.MaxLease)
 			h.plan()
 			h.renew("h1", 2+n)
@@ -283,7 +283,7 @@
 		life := report("h1")
 		life.Incarnation, life.Draining = 1+n, true
 		h.pool.SetHosts([]worker.Report{life}, h.now)
-		h.pool.RenewalFailed("h1", h.now, errNoAnswer)
+		h.pool.RenewalFailed("h1", h.now, h.now, errNoAnswer)
 		life.Incarnation, life.Draining = 2+n, false
 		h.pool.SetHosts([]worker.Report{life}, h.now)
 		h.renew("h1", 2+n)
--- a/internal/coordination/schedule/fair_share_test.go
+++ b/internal/coordination/schedule/fair_share_test.go
@@ -227,8 +227,8 @@
 		h.pool.CancelJob(job.ID(fmt.Sprintf("%016d", n)), h.now)
 	}
 	h.plan()
-	h.pool.RenewalFailed("h1", h.now, context.DeadlineExceeded)
-	h.pool.RenewalFailed("h2", h.now, context.DeadlineExceeded)
+	h.pool.RenewalFailed("h1", h.now, h.now, context.DeadlineExceeded)
+	h.pool.RenewalFailed("h2", h.now, h.now, context.DeadlineExceeded)
 	h.advance(2 * time.Minute)
 	h.plan()
 	check()
--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -46,12 +46,13 @@
 	return ok && h.acknowledged != h.received
 }
 
-// RenewalFailed marks a host as unresponsive after a lease renewal without an answer.
-func (p *Pool) RenewalFailed(id worker.ID, now time.Time, cause error) {
+// RenewalFailed marks a host as unresponsive after a lease renewal, sent at sent, without an answer.
+// One to an earlier incarnation says nothing of the present one.
+func (p *Pool) RenewalFailed(id worker.ID, sent, now time.Time, cause error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h, ok := p.hosts[id]
-	if !ok {
+	if !ok || sent.Before(h.incarnationAt) {
 		return
 	}
 	if h.confirmed {
--- a/internal/coordination/schedule/incarnation_test.go
+++ b/internal/coordination/schedule/incarnation_test.go
@@ -108,7 +108,7 @@
 			h.renew("h1", 1)
 			h.pool.CancelJob(idA, h.now)
 			if leaves {
-				h.pool.RenewalFailed("h1", h.now, errNoAnswer)
+				h.pool.RenewalFailed("h1", h.now, h.now, errNoAnswer)
 				h.pool.WorkerEnded("h1", h.lastSeen("h1"), h.now)
 				h.list()
 				h.list("h1")
@@ -242,6 +242,24 @@
 	h.wantStarts(again)
 }
 
+// TestFailedCallToTheFormerIncarnation guards against a worker that counts as unresponsive after its
+// restart, since a call to its former life gets no answer.
+func TestFailedCallToTheFormerIncarnation(t *testing.T) {
+	h := newHarness(t, "h1")
+	sent := h.now
+	h.advance(time.Second)
+	h.restart("h1")
+	h.advance(100 * time.Millisecond)
+	h.pool.RenewalFailed("h1", sent, h.now, errNoAnswer)
+	if load := h.pool.Load(h.now); load.Hosts["h1"].Unresponsive {
+		t.Error("the restarted worker counts as unresponsive")
+	}
+	h.pool.RenewalFailed("h1", h.now, h.now, errNoAnswer)
+	if load := h.pool.Load(h.now); !load.Hosts["h1"].Unresponsive {
+		t.Error("a call to the restarted worker that fails is ignored")
+	}
+}
+
 // TestLeaseOfTheFormerClockLastsLongestOnTheNextIncarnation guards against a task that is started a
 // second time: the end of the lease that came with the start is far in the future on the clock of
 // the next incarnation, which shortens it to the longest that it grants.
@@ -267,7 +285,7 @@
 			}
 			h.advance(2 * time.Millisecond)
 			restart(h, starts[0])
-			h.pool.RenewalFailed("h1", h.now, errNoAnswer)
+			h.pool.RenewalFailed("h1", h.now, h.now, errNoAnswer)
 			h.advance(9 * time.Second)
 			h.renew("h2", 1)
 			again, _ := h.plan()
--- a/internal/coordination/schedule/lapsed_test.go
+++ b/internal/coordination/schedule/lapsed_test.go
@@ -11,7 +11,7 @@
 
 // lapse lets a host fall silent for longer than its leases last.
 func (h *harness) lapse(id worker.ID) {
-	h.pool.RenewalFailed(id, h.now, errNoAnswer)
+	h.pool.RenewalFailed(id, h.now, h.now, errNoAnswer)
 	h.advance(6 * time.Second)
 	h.pool.Plan(h.now)
 }
@@ -80,7 +80,7 @@
 		h.accept(starts...)
 		for _, s := range starts {
 			started++
-			h.pool.RenewalFailed(s.Target.ID, h.now, errNoAnswer)
+			h.pool.RenewalFailed(s.Target.ID, h.now, h.now, errNoAnswer)
 		}
 		h.advance(2 * time.Second)
 	}
--- a/internal/coordination/schedule/record_test.go
+++ b/internal/coordination/schedule/record_test.go
@@ -62,7 +62,7 @@
 	h.add(idA, step)
 	starts, _ := h.plan()
 	h.accept(starts...)
-	h.pool.RenewalFailed(starts[0].Target.ID, h.now, errNoAnswer)
+	h.pool.RenewalFailed(starts[0].Target.ID, h.now, h.now, errNoAnswer)
 	h.advance(2 * strandedAfter)
 	h.placeOnly()
 	// The host of the first run answers again and lists its end.
--- a/internal/coordination/schedule/schedule_test.go
+++ b/internal/coordination/schedule/schedule_test.go
@@ -101,7 +101,7 @@
 	starts, _ := h.plan()
 	h.accept(starts...)
 	unresponsive := starts[0].Target.ID
-	h.pool.RenewalFailed(unresponsive, h.now, errNoAnswer)
+	h.pool.RenewalFailed(unresponsive, h.now, h.now, errNoAnswer)
 	from := h.now
 	for h.now.Sub(from) < 7*time.Second {
 		h.advance(100 * time.Millisecond)
@@ -127,7 +127,7 @@
 	h.add(idA, copied)
 	starts, _ := h.plan()
 	h.accept(starts...)
-	h.pool.RenewalFailed(starts[0].Target.ID, h.now, errNoAnswer)
+	h.pool.RenewalFailed(starts[0].Target.ID, h.now, h.now, errNoAnswer)
 	h.advance(strandedAfter + time.Millisecond)
 	again, _ := h.plan()
 	h.wantStarts(again, idA+".0.0.0")
@@ -159,7 +159,7 @@
 	h.add(idA, testStep(1, 1000))
 	starts, _ := h.plan()
 	h.accept(starts...)
-	h.pool.RenewalFailed(starts[0].Target.ID, h.now, errNoAnswer)
+	h.pool.RenewalFailed(starts[0].Target.ID, h.now, h.now, errNoAnswer)
 	h.pool.WorkerEnded(starts[0].Target.ID, h.lastSeen(starts[0].Target.ID), h.now)
 	again, _ := h.plan()
 	h.wantStarts(again, idA+".0.0.0")
--- a/internal/coordination/schedule/start_test.go
+++ b/internal/coordination/schedule/start_test.go
@@ -22,7 +22,7 @@
 	if starts[0].Target.ID == other {
 		other = "h2"
 	}
-	h.pool.RenewalFailed(starts[0].Target.ID, h.now, errNoAnswer)
+	h.pool.RenewalFailed(starts[0].Target.ID, h.now, h.now, errNoAnswer)
 	h.advance(strandedAfter + time.Millisecond)
 	h.renew(other, 1)
 	h.pool.Plan(h.now)
@@ -71,7 +71,7 @@
 	h.pool.Plan(h.now)
 	queued := h.recordQueued()
 	h.wantStarts(queued, idA+".0.0.0", idA+".0.0.1")
-	h.pool.RenewalFailed(queued[0].Target.ID, h.now, errNoAnswer)
+	h.pool.RenewalFailed(queued[0].Target.ID, h.now, h.now, errNoAnswer)
 	for _, s := range queued {
 		if _, ok := h.pool.BeginStart(s.Target.ID, s.Order, h.now); ok {
 			t.Errorf("%s was started without the rest of its gang", s.Order.Task)
--- a/internal/coordination/schedule/stop_test.go
+++ b/internal/coordination/schedule/stop_test.go
@@ -26,7 +26,7 @@
 func TestQueuedStopIsNotSentOnceItsStepAllowsNoFurtherAbsence(t *testing.T) {
 	h := newHarness(t, "h1", "h2", "h3")
 	move, other := queuedMove(h)
-	h.pool.RenewalFailed(other.Target.ID, h.now, errNoAnswer)
+	h.pool.RenewalFailed(other.Target.ID, h.now, h.now, errNoAnswer)
 	if h.pool.BeginStop(move.Target.ID, move.Order, h.now) {
 		t.Error("a task at work was stopped while the other task of its step was away")
 	}
@@ -68,7 +68,7 @@
 	if _, orders := h.plan(); len(orders.Stops) != 1 {
 		t.Fatalf("%d stops of an unanswered start; want 1", len(orders.Stops))
 	}
-	h.pool.RenewalFailed(away.Target.ID, h.now, errNoAnswer)
+	h.pool.RenewalFailed(away.Target.ID, h.now, h.now, errNoAnswer)
 	h.renewRunning(late.Target.ID, 1, []worker.ActiveRun{{Task: late.Order.Task, Run: late.Order.Run, Percent: fullSpeed}})
 	h.advance(stopRetry)
 	if _, orders := h.plan(); len(orders.Stops) != 0 {
--- a/internal/jobhost/conversation.go
+++ b/internal/jobhost/conversation.go
@@ -75,7 +75,7 @@
 	reply, err := c.runner.host.platform.Workers.RenewLease(ctx, *c.target.Load(), order)
 	now := c.runner.host.now()
 	if err != nil {
-		c.runner.pool.RenewalFailed(id, now, err)
+		c.runner.pool.RenewalFailed(id, sent, now, err)
 		return false
 	}
 	c.runner.pool.ApplyRenewal(id, sent, now, reply)
--- a/internal/jobhost/loads_test.go
+++ b/internal/jobhost/loads_test.go
@@ -27,7 +27,7 @@
 func (r *runnerTest) fallSilent(h peerHandler) *wire.GoneRequest {
 	r.Helper()
 	r.now = r.now.Add(time.Second)
-	r.runner.pool.RenewalFailed(testHost, r.now, errors.New("no answer"))
+	r.runner.pool.RenewalFailed(testHost, r.now, r.now, errors.New("no answer"))
 	reply, _ := h.Load(r.Context(), &wire.LoadRequest{})
 	load := loadFromProto(reply.GetPools()[0])
 	return &wire.GoneRequest{Pool: "maps", Host: string(testHost), KnownMs: load.Hosts[testHost].LastSeen.UnixMilli()}
