schedule: allow for the longest lease that a former owner may have left

A worker was back under its ID, its owner was killed 2 s after the crash, and the worker was cut off 2 s later; the next owner started its tasks elsewhere after 4.4 s, while 7 s of their lease were left.

Cause: an order to a worker whose restart its owner has not seen carries the end of a lease on the clock of the former life. The next life's clock has begun anew and it keeps its runs for the longest time that it grants. The owner that sees the restart allows for this; a successor reckoned with the lease that owners ask for.

Now a successor allows for the longest lease on hosts that answer it and on those that don't, and an owner does for each new life.

Evidence: TestSuccessorAllowsForTheLongestLease and a new variant of TestLeaseOfTheFormerClockLastsLongestOnTheNextIncarnation failed before and pass. Three tests of other faults assumed that a lease is over 5 s after a host's first contact: two wait until the longest one is over, TestLeaseOfUnresponsiveHostExpires begins after that of a former owner is, with its bound of 7 s as it was.

--- a/internal/coordination/schedule/crash_test.go
+++ b/internal/coordination/schedule/crash_test.go
@@ -232,7 +232,7 @@
 			h.accept(starts...)
 			h.advance(silentAfter)
 			h.pool.RenewalFailed("h1", h.now, h.now, errNoAnswer)
-			h.advance(h.pool.limits.MaxLease)
+			h.advance(h.pool.limits.maxGrantedDuration())
 			h.plan()
 			h.renew("h1", 2+n)
 		}
--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -96,7 +96,7 @@
 		// The worker now refuses earlier owners, so the last lease that can still be in
 		// force is one that the previous owner granted just before.
 		h.contactedAt = now
-		h.expiry = earlier(h.expiry, now.Add(p.limits.maxLeaseDuration()))
+		h.expiry = earlier(h.expiry, now.Add(p.limits.maxGrantedDuration()))
 	}
 	h.confirmed, h.leaving = true, h.cordoned()
 	h.updateClock(now, reply.Clock)
--- a/internal/coordination/schedule/incarnation.go
+++ b/internal/coordination/schedule/incarnation.go
@@ -35,8 +35,6 @@
 	known := h.incarnation != 0
 	if known {
 		p.hostCrashed(h, sent, now)
-	}
-	if known && h.confirmed {
 		p.expectLongestLease(h, now)
 	}
 	h.incarnation, h.incarnationAt = incarnation, now
--- a/internal/coordination/schedule/incarnation_test.go
+++ b/internal/coordination/schedule/incarnation_test.go
@@ -273,6 +273,12 @@
 			running := worker.ActiveRun{Task: s.Order.Task, Run: s.Order.Run, Percent: fullSpeed}
 			h.pool.ApplyRenewal("h1", h.now, h.now, worker.RenewalReply{Clock: time.Millisecond, Incarnation: 2, Running: []worker.ActiveRun{running}})
 		},
+		"seen by the list, after a failed call": func(h *harness, s Start) {
+			h.accept(s)
+			h.pool.RenewalFailed("h1", h.now, h.now, errNoAnswer)
+			running := worker.ActiveRun{Task: s.Order.Task, Run: s.Order.Run, Percent: fullSpeed}
+			h.pool.ApplyRenewal("h1", h.now, h.now, worker.RenewalReply{Clock: time.Millisecond, Incarnation: 2, Running: []worker.ActiveRun{running}})
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, "h1", "h2")
--- a/internal/coordination/schedule/inherit_test.go
+++ b/internal/coordination/schedule/inherit_test.go
@@ -74,3 +74,39 @@
 		h.wantState(idA, test.want)
 	}
 }
+
+// TestSuccessorAllowsForTheLongestLease guards against a task that is started a second time: the former
+// owner took its host's worker for an earlier life and sent a lease on the clock of that, which lasts
+// as long as the worker grants. It was replaced before it knew, and the host is cut off, before or
+// after it has answered the successor.
+func TestSuccessorAllowsForTheLongestLease(t *testing.T) {
+	for name, answers := range map[string]bool{"answers once": true, "does not answer": false} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, "h1")
+			h.add(idA, testStep(1, 1000))
+			starts, record := h.progress(idA)
+			h.wantStarts(starts, idA+".0.0.0")
+			h.advance(2 * time.Second)
+			h.replaceOwner(idA, record)
+			h.list("h1", "h2")
+			h.renew("h2", 1)
+			wait := h.pool.limits.MaxLease
+			// The tenure begins at epoch.
+			left := epoch.Add(h.pool.limits.MaxUnconfirmed).Sub(h.now)
+			if answers {
+				h.renewRunning("h1", 2, []worker.ActiveRun{{Task: starts[0].Order.Task, Run: starts[0].Order.Run, Percent: fullSpeed}})
+			} else {
+				wait += left
+			}
+			h.pool.RenewalFailed("h1", h.now, h.now, errNoAnswer)
+			h.advance(wait)
+			h.renew("h2", 1)
+			again, _ := h.plan()
+			h.wantStarts(again)
+			h.advance(time.Second)
+			h.renew("h2", 1)
+			again, _ = h.plan()
+			h.wantStarts(again, idA+".0.0.0")
+		})
+	}
+}
--- a/internal/coordination/schedule/lapsed_test.go
+++ b/internal/coordination/schedule/lapsed_test.go
@@ -12,7 +12,7 @@
 // lapse lets a host fall silent for longer than its leases last.
 func (h *harness) lapse(id worker.ID) {
 	h.pool.RenewalFailed(id, h.now, h.now, errNoAnswer)
-	h.advance(6 * time.Second)
+	h.advance(h.pool.limits.maxGrantedDuration())
 	h.pool.Plan(h.now)
 }
 
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -41,7 +41,8 @@
 	tenureStart time.Time
 	// inheritedExpiry is the time by which every run that an earlier owner started on an
 	// unresponsive host must have ended: MaxUnconfirmed, within which that owner stops acting,
-	// plus the longest lease after the tenure begins.
+	// plus the longest lease after the tenure begins. It may have taken the worker for its former life
+	// and sent a lease on the clock of that.
 	inheritedExpiry time.Time
 	// checksCapacity is false also while it is not known.
 	checksCapacity bool
@@ -81,7 +82,7 @@
 func New(name string, token worker.FencingToken, limits Limits, now time.Time, events Events, opts ...Option) *Pool {
 	p := &Pool{
 		name: name, limits: limits, token: token, events: events, tenureStart: now,
-		inheritedExpiry: now.Add(limits.MaxUnconfirmed + limits.maxLeaseDuration()),
+		inheritedExpiry: now.Add(limits.MaxUnconfirmed + limits.maxGrantedDuration()),
 		jobs:            map[job.ID]*jobEntry{}, hosts: map[worker.ID]*host{},
 		open: map[job.ID]*jobEntry{}, dirty: map[job.ID]*jobEntry{}, unacknowledged: map[worker.ID]*host{},
 		reservations: map[*task]reservation{}, suspects: map[*task]struct{}{},
--- a/internal/coordination/schedule/schedule_test.go
+++ b/internal/coordination/schedule/schedule_test.go
@@ -97,6 +97,10 @@
 
 func TestLeaseOfUnresponsiveHostExpires(t *testing.T) {
 	h := newHarness(t, "h1", "h2")
+	// The leases of a former owner are over.
+	h.advance(h.pool.limits.maxGrantedDuration())
+	h.renew("h1", 1)
+	h.renew("h2", 1)
 	h.add(idA, testStep(1, 1000))
 	starts, _ := h.plan()
 	h.accept(starts...)
