schedule: place gangs beyond the starts in flight to a host

Callers saw: a gang of more than eight tasks for each host of its pool stayed queued for ever, on empty hosts.

Cause: at most eight starts may be in flight to a host, and a gang is placed whole in one plan.

Now the bound holds for tasks that may start one after the other; the orders of a gang queue at the host.

--- a/internal/coordination/schedule/advice.go
+++ b/internal/coordination/schedule/advice.go
@@ -67,7 +67,7 @@
 	}
 	var ids []worker.ID
 	for id, h := range p.hosts {
-		if p.usable(h, now) && s.needsPlacementQuery(h, now) {
+		if p.usable(h, s.def.Gang, now) && s.needsPlacementQuery(h, now) {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/coordination/schedule/blocked.go
+++ b/internal/coordination/schedule/blocked.go
@@ -22,7 +22,7 @@
 			continue
 		}
 		hosts++
-		if p.usable(h, now) {
+		if p.usable(h, false, now) {
 			usable++
 			free = free.Plus(h.free())
 		}
--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -129,9 +129,10 @@
 
 func (h *host) free() worker.Resources { return h.report.Capacity.Minus(h.used) }
 
-// usable reports whether a task may be placed on a host now.
-func (p *Pool) usable(h *host, now time.Time) bool {
-	return h.reachable() && !now.Before(h.pausedUntil) && h.startsInFlight < maxStartsPerHost &&
+// usable reports whether a task may be placed on a host now. The members of a gang, which start
+// together, queue there beyond maxStartsPerHost.
+func (p *Pool) usable(h *host, gang bool, now time.Time) bool {
+	return h.reachable() && !now.Before(h.pausedUntil) && (gang || h.startsInFlight < maxStartsPerHost) &&
 		(p.ignoreSuspicion || h.health.admits(now, h.unprovenRuns()))
 }
 
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -134,7 +134,7 @@
 
 // allowed reports whether a task of a step may be started on a host now.
 func (p *Pool) allowed(s *step, h *host, now time.Time) bool {
-	if !p.usable(h, now) || h.onTrial() || !p.capacityKnown(h, now) || !s.def.Reserved().Fits(h.free()) {
+	if !p.usable(h, s.def.Gang, now) || h.onTrial() || !p.capacityKnown(h, now) || !s.def.Reserved().Fits(h.free()) {
 		return false
 	}
 	if s.def.RequiredLabel != "" && s.def.RequiredLabel != h.report.Kind && s.def.RequiredLabel != h.report.Rack {
--- a/internal/coordination/schedule/share_place.go
+++ b/internal/coordination/schedule/share_place.go
@@ -124,7 +124,7 @@
 // hasRoom reports whether a host that takes tasks has so much free.
 func (p *Pool) hasRoom(needs worker.Resources, now time.Time) bool {
 	for _, h := range p.hosts {
-		if needs.Fits(h.free()) && p.usable(h, now) && !h.onTrial() && p.capacityKnown(h, now) {
+		if needs.Fits(h.free()) && p.usable(h, false, now) && !h.onTrial() && p.capacityKnown(h, now) {
 			return true
 		}
 	}
