schedule: look at a host's runs only if it is suspected

Whether a suspected host admits a run was found out for each host that a task was tried on, by going through its runs, suspected or not; the estimates were looked up for jobs without a schedule. Found in reading the change afresh.

--- a/internal/coordination/schedule/backlog.go
+++ b/internal/coordination/schedule/backlog.go
@@ -203,12 +203,12 @@
 // addUpcoming adds the tasks of the upcoming occurrences that could run. Those of one class are
 // taken to come into a later one together with the first.
 func (p *Pool) addUpcoming(b *backlog, e *jobEntry) {
-	mean, deviation := p.estimates.spread(e.Queue)
 	for _, u := range e.upcomingSteps(b.at) {
 		s := &e.Steps[u.number]
 		if s.LongRunning {
 			continue
 		}
+		mean, deviation := p.estimates.spread(e.Queue)
 		needs, declared := demandOf(s.Reserved()), s.Estimate.Seconds()
 		for _, r := range u.classes {
 			tasks := e.upcomingWithin(u.number, r.next, r.end) * s.Tasks
--- a/internal/coordination/schedule/health.go
+++ b/internal/coordination/schedule/health.go
@@ -37,27 +37,24 @@
 // suspected reports whether the host is suspected.
 func (h *health) suspected(now time.Time) bool { return now.Before(h.suspectUntil) }
 
-// admits reports whether the host may get another run beside those that may still fail at once. A
-// suspected host gets one such run at a time, so that a success can clear it.
-func (h *health) admits(now time.Time, unprovenRuns int) bool {
-	return !h.suspected(now) || unprovenRuns == 0
-}
-
-// proven reports whether the host has borne a run of a long-running task for so long that a failure is
-// the task's own. Such a run never succeeds.
-func (r *run) proven() bool { return r.task.step.def.LongRunning && r.workedFor() >= soundRunTime }
-
-// unprovenRuns returns how many runs may show by their end that the host is at fault.
-func (h *host) unprovenRuns() int {
-	n := 0
+// admitsRun reports whether the host may get another run. A suspected host gets one at a time beside
+// those that are proven, so that a success can clear it.
+func (h *host) admitsRun(now time.Time) bool {
+	if !h.health.suspected(now) {
+		return true
+	}
 	for _, r := range h.runs {
 		if !r.proven() {
-			n++
+			return false
 		}
 	}
-	return n
+	return true
 }
 
+// proven reports whether the host has borne a run of a long-running task for so long that a failure is
+// the task's own. Such a run never succeeds.
+func (r *run) proven() bool { return r.task.step.def.LongRunning && r.workedFor() >= soundRunTime }
+
 // weighSuspicion ignores the suspicion of hosts while more than half of those that take tasks are
 // suspected: the cause is not in the hosts, and the others have no room for what these could run.
 func (p *Pool) weighSuspicion(now time.Time) {
--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -133,7 +133,7 @@
 // together, queue there beyond maxStartsPerHost.
 func (p *Pool) usable(h *host, gang bool, now time.Time) bool {
 	return h.reachable() && !now.Before(h.pausedUntil) && (gang || h.startsInFlight < maxStartsPerHost) &&
-		(p.ignoreSuspicion || h.health.admits(now, h.unprovenRuns()))
+		(p.ignoreSuspicion || h.admitsRun(now))
 }
 
 // reachable reports whether a start whose placement is recorded may still be sent to the host.
