schedule: require a label of the worker's present life

The worker had crashed and was back under its ID as one of another kind, and had not reported yet.

Cause: the label of the former life's report was used for the next one where the workers check their capacity; only for others are outdated reports passed over.

Now a required label counts only from a report of the present life, when the task is placed and when its start is sent.

--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -127,6 +127,13 @@
 	return later(h.restartSeenAt, later(h.knownAt, h.heardAt)).Truncate(time.Millisecond)
 }
 
+// hasLabelFor reports whether the host is known to have the label that a step requires, if any. An
+// earlier incarnation may have had another.
+func (h *host) hasLabelFor(s *step) bool {
+	label := s.def.RequiredLabel
+	return label == "" || (!h.reportOutdated() && (label == h.report.Kind || label == h.report.Rack))
+}
+
 func (h *host) free() worker.Resources { return h.report.Capacity.Minus(h.used) }
 
 // usable reports whether a task may be placed on a host now. The members of a gang, which start
--- a/internal/coordination/schedule/incarnation_test.go
+++ b/internal/coordination/schedule/incarnation_test.go
@@ -317,3 +317,28 @@
 		})
 	}
 }
+
+// TestLabelOfTheFormerIncarnation guards against a task that is started on a worker that lacks its label:
+// the worker is back as one of another kind, which it has not reported yet.
+func TestLabelOfTheFormerIncarnation(t *testing.T) {
+	h := newHarness(t)
+	before := report("h1")
+	before.Incarnation = 1
+	h.pool.SetHosts([]worker.Report{before}, h.now)
+	h.renew("h1", 1)
+	h.restart("h1")
+	labelled := testStep(1, 1000)
+	labelled.RequiredLabel = before.Kind
+	h.add(idA, labelled)
+	starts, _ := h.plan()
+	h.wantStarts(starts)
+	for _, kind := range []string{"b", before.Kind} {
+		after := before
+		after.Incarnation, after.Kind = 2, kind
+		h.pool.SetHosts([]worker.Report{after}, h.now)
+		starts, _ = h.plan()
+		if placed := len(starts) > 0; placed != (kind == before.Kind) {
+			t.Errorf("the worker reports kind %s; placed: %v", kind, placed)
+		}
+	}
+}
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -137,7 +137,7 @@
 	if !p.usable(h, s.def.Gang, now) || h.onTrial() || !p.capacityKnown(h, now) || !s.def.Reserved().Fits(h.free()) {
 		return false
 	}
-	if s.def.RequiredLabel != "" && s.def.RequiredLabel != h.report.Kind && s.def.RequiredLabel != h.report.Rack {
+	if !h.hasLabelFor(s) {
 		return false
 	}
 	if s.def.MaxPerHost > 0 && h.stepRuns(s)+h.reservedFor(s) >= s.def.MaxPerHost {
--- a/internal/coordination/schedule/start.go
+++ b/internal/coordination/schedule/start.go
@@ -32,7 +32,7 @@
 		return order, false
 	}
 	ticket, valid := r.task.step.ticketFor(h, now)
-	if p.fenced || !r.wanted() || !h.reachable() || !p.takes(h, now) || (r.task.step.job.NeedsPlacementCheck && !valid) {
+	if p.fenced || !r.wanted() || !h.reachable() || !p.takes(h, now) || !h.hasLabelFor(r.task.step) || (r.task.step.job.NeedsPlacementCheck && !valid) {
 		p.dropStart(r, now)
 		return order, false
 	}
