--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -80,6 +80,7 @@
 		if h.confirmed {
 			continue
 		}
+		p.logExpiry(h)
 		if h.fellSilentAtStart() {
 			p.hostCrashed(h, now, now)
 		} else {
@@ -89,6 +90,15 @@
 	}
 }
 
+// logExpiry logs by what the leases of a host with runs are taken for expired.
+func (p *Pool) logExpiry(h *host) {
+	if len(h.runs) == 0 {
+		return
+	}
+	p.events.Event("host-expired", "host", h.report.ID, "pool", p.name, "runs", len(h.runs), "life", h.incarnation, "life-known", h.incarnationAt,
+		"restart-seen", h.restartSeenAt, "contacted", h.contactedAt, "heard", h.heardAt, "expiry", h.expiry, "unanswered", len(h.unanswered))
+}
+
 // releaseAll releases the runs of a host that has certainly ended all of them.
 func (p *Pool) releaseAll(h *host, now time.Time) {
 	for _, r := range h.runs {
