schedule: raise the fence for each life of a worker

Workers were back under their IDs and were cut off seconds later.

Cause: an order without an answer may be carried out seconds later, by the worker's next incarnation, which knows no fencing token. A start to the former one is refused there as stale, but its lease, which ends far ahead on the clock that began anew, lasts the longest that workers grant. The owner allowed for that only up to the moment at which it saw the next incarnation.

Fix: orders to a worker have an epoch in the low bits of their fencing token. It rises whenever the worker may have restarted: after silence, an answer from another incarnation, by the clock or by the report, and after a start without an answer. An incarnation that has answered an order of an epoch in which nothing else was ordered refuses all earlier orders (sealed), with their leases. Only then is anything started on it, and its leases are reckoned from there; until then orders are allowed for as long as they can be late. Run numbers, machine orders and quotas keep the token of the tenure.

A list that was asked for with a raised token now also settles a start without an answer, so that it needs no stop, neither on this life nor on the next. TestRestartDoesNotEndTheStopOfAStartWithoutAnAnswer and TestStoppedStartIsStoppedAgainAfterARestart demanded those stops. Their replacements demand as much: no second start before the worker refuses the first one, and a token above that of the start before anything else is ordered. TestLeaseOfTheFormerClockLastsLongestOnTheNextIncarnation keeps its bounds for an incarnation that is sealed, and has the longer one for one that is not. The harness passes the orders that replies answer, and repeats a reply for the renewal that follows at once.

Each restart of a worker costs one more call to it, a start without an answer one less.

--- a/internal/coordination/schedule/bench_test.go
+++ b/internal/coordination/schedule/bench_test.go
@@ -21,7 +21,7 @@
 	}
 	p.SetHosts(reports, now)
 	for _, r := range reports {
-		p.ApplyRenewal(r.ID, now, now, worker.RenewalReply{Clock: time.Second, Incarnation: 1})
+		p.ApplyRenewal(r.ID, p.probe(r.ID), now, now, worker.RenewalReply{Clock: time.Second, Incarnation: 1})
 	}
 	for n := range hosts*4 + waiting {
 		p.AddJob(jobs.New(&job.Job{
@@ -109,7 +109,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				clock += time.Millisecond
-				p.ApplyRenewal("h000", now, now, worker.RenewalReply{Clock: clock, Incarnation: 1, Running: rows})
+				p.ApplyRenewal("h000", p.probe("h000"), now, now, worker.RenewalReply{Clock: clock, Incarnation: 1, Running: rows})
 			}
 		})
 	}
--- /dev/null
+++ b/internal/coordination/schedule/fence.go
@@ -0,0 +1,86 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
+)
+
+// epochBits is the number of low bits of the fencing token in the orders to a host, which hold the
+// host's epoch; the higher bits hold the token of the tenure.
+const epochBits = 24
+
+// fence is what keeps orders to one incarnation of a host's worker from its next one. Each order has the
+// epoch in its fencing token, and an incarnation that has answered one of a raised epoch refuses all orders
+// from before.
+type fence struct {
+	// epoch rises within a tenure and is never that of another host. used is set once an order that
+	// changes something was sent in it.
+	epoch int64
+	used  bool
+	// sealed is set while the present incarnation is known to refuse the orders to earlier ones.
+	sealed bool
+	// lateUntil is until when an order with a lease that was sent in this tenure may be carried out.
+	lateUntil time.Time
+}
+
+// nextEpoch returns an epoch above those of all orders so far. When there is none left, the pool needs
+// a new tenure.
+func (p *Pool) nextEpoch() int64 {
+	if p.epoch == 1<<epochBits-1 {
+		p.fenced = true
+		return p.epoch
+	}
+	p.epoch++
+	return p.epoch
+}
+
+// raiseFence begins the next epoch of a host, unless nothing was ordered in the present one.
+func (p *Pool) raiseFence(h *host) {
+	if h.fence.used {
+		h.fence.epoch, h.fence.used = p.nextEpoch(), false
+	}
+}
+
+// tokenFor returns the fencing token of an order to a host.
+func (p *Pool) tokenFor(h *host) worker.FencingToken {
+	return p.token<<epochBits | worker.FencingToken(h.fence.epoch)
+}
+
+// useToken returns the fencing token of an order that changes something on the host.
+func (p *Pool) useToken(h *host) worker.FencingToken {
+	h.fence.used = true
+	return p.tokenFor(h)
+}
+
+// seals reports whether an incarnation that has answered an order with token refuses all that was ordered
+// before: nothing else was ordered with that token.
+func (p *Pool) seals(h *host, token worker.FencingToken) bool {
+	return !h.fence.used && token == p.tokenFor(h)
+}
+
+// seal applies an answer of the present incarnation to an order with token.
+func (p *Pool) seal(h *host, token worker.FencingToken, now time.Time) {
+	switch f := &h.fence; {
+	case f.sealed:
+	case !p.seals(h, token):
+		p.raiseFence(h)
+	default:
+		f.sealed = true
+		h.expiry = earlier(now.Add(p.limits.maxGrantedDuration()), p.lateExpiry(h))
+	}
+}
+
+// unseal is called when another incarnation is known to have begun, which may carry out orders to the
+// former one, each with a lease, until it is sealed.
+func (p *Pool) unseal(h *host) {
+	p.raiseFence(h)
+	h.fence.sealed = false
+	h.expiry = later(h.expiry, p.lateExpiry(h))
+}
+
+// lateExpiry returns when all runs on an unresponsive host have ended, also those on a next
+// incarnation that carries out orders to the present one.
+func (p *Pool) lateExpiry(h *host) time.Time {
+	return later(h.fence.lateUntil, p.formerOrdersUntil).Add(p.limits.maxGrantedDuration())
+}
--- a/internal/coordination/schedule/harness_test.go
+++ b/internal/coordination/schedule/harness_test.go
@@ -80,7 +80,22 @@
 	}
 	sent := h.now
 	h.advance(5 * time.Millisecond)
-	h.pool.ApplyRenewal(id, sent, h.now, worker.RenewalReply{Clock: h.clock(), Incarnation: incarnation, Running: running, Ended: ended})
+	h.answer(id, sent, worker.RenewalReply{Clock: h.clock(), Incarnation: incarnation, Running: running, Ended: ended})
+}
+
+// answer delivers a host's reply to a renewal that was sent at sent, and the same to the one that
+// follows at once, unless the first seals the worker's incarnation.
+func (h *harness) answer(id worker.ID, sent time.Time, reply worker.RenewalReply) {
+	h.pool.ApplyRenewal(id, h.pool.probe(id), sent, h.now, reply)
+	if !h.pool.hosts[id].fence.sealed {
+		order, _ := h.pool.NextRenewal(id, h.now)
+		h.pool.ApplyRenewal(id, order, h.now, h.now, reply)
+	}
+}
+
+// probe returns an order for a host that changes nothing.
+func (p *Pool) probe(id worker.ID) worker.RenewalOrder {
+	return worker.RenewalOrder{Token: p.tokenFor(p.hosts[id])}
 }
 
 // lastSeen returns when a host was last known to be alive, as the pool reports it.
@@ -101,7 +116,10 @@
 func (h *harness) plan() ([]Start, Orders) {
 	h.Helper()
 	orders := h.pool.Plan(h.now)
-	orders.Stops = slices.DeleteFunc(orders.Stops, func(s Stop) bool { return !h.pool.BeginStop(s.Target.ID, s.Order, h.now) })
+	orders.Stops = slices.DeleteFunc(orders.Stops, func(s Stop) bool {
+		_, ok := h.pool.BeginStop(s.Target.ID, s.Order, h.now)
+		return !ok
+	})
 	return h.record(), orders
 }
 
--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -18,9 +18,10 @@
 	if !h.confirmed || now.Sub(h.heardAt) >= minRestartTime {
 		// The worker may have restarted under the same ID. Until its incarnation is known,
 		// no ended run may be acknowledged and no lease extended by its former clock.
-		return worker.RenewalOrder{Token: p.token}, true
+		p.raiseFence(h)
+		return worker.RenewalOrder{Token: p.tokenFor(h)}, true
 	}
-	order := worker.RenewalOrder{Token: p.token, Acknowledged: h.acknowledged, LeaseEnd: h.nextLease(now, p.limits.Lease)}
+	order := worker.RenewalOrder{Token: p.useToken(h), Acknowledged: h.acknowledged, LeaseEnd: h.nextLease(now, p.limits.Lease)}
 	if h.acknowledged == h.received {
 		order.MaxWait = p.limits.RenewalWait
 		if p.neighbours != nil && h.serves() {
@@ -65,7 +66,7 @@
 
 // ApplyRenewal applies a renewal reply, which lists a host's running and ended runs; the
 // renewal was sent at sent.
-func (p *Pool) ApplyRenewal(id worker.ID, sent, now time.Time, reply worker.RenewalReply) {
+func (p *Pool) ApplyRenewal(id worker.ID, order worker.RenewalOrder, sent, now time.Time, reply worker.RenewalReply) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h, ok := p.hosts[id]
@@ -73,7 +74,7 @@
 		return
 	}
 	if reply.Fenced {
-		p.setFenced(id)
+		p.refusedByFence(h, order.Token)
 		return
 	}
 	if reply.Incarnation == h.incarnation && (reply.Clock < h.clock || sent.Before(h.restartSeenAt)) {
@@ -85,28 +86,25 @@
 			// The answer is from an earlier incarnation. If it is from a later one, so is the next.
 			return
 		}
-		p.newIncarnation(h, reply.Incarnation, sent, now)
+		p.newIncarnation(h, reply.Incarnation, p.seals(h, order.Token), sent, now)
 	}
-	if !h.confirmed {
+	p.seal(h, order.Token, now)
+	if !h.confirmed && h.fence.sealed {
 		p.events.Event("host-answers", "host", id, "pool", p.name, "life", reply.Incarnation, "running", len(reply.Running), "ended", len(reply.Ended))
 	}
 	h.forgetLapsed()
 	p.settle(h, now)
 	if h.contactedAt.IsZero() {
-		// The worker now refuses earlier owners, so the last lease that can still be in
-		// force is one that the previous owner granted just before.
 		h.contactedAt = now
-		h.expiry = earlier(h.expiry, now.Add(p.limits.maxGrantedDuration()))
 	}
-	h.confirmed, h.leaving = true, h.cordoned()
+	h.confirmed, h.leaving = h.fence.sealed, h.cordoned()
 	h.updateClock(now, reply.Clock)
-	h.extendExpiry()
 	for n := range reply.Ended {
 		p.applyEndedRun(h, &reply.Ended[n], now)
 	}
 	p.applyActiveRuns(h, reply.Running, sent, now)
 	if len(reply.Ended) < maxEndsPerReply {
-		p.reconcileMissing(h, reply.Running, sent, now)
+		p.reconcileMissing(h, reply.Running, order.Token, sent, now)
 	}
 }
 
@@ -135,6 +133,14 @@
 	p.fenced = true
 }
 
+// refusedByFence applies the refusal of an order whose fencing token is out of date: either a later
+// owner or a later order of this one has overtaken it.
+func (p *Pool) refusedByFence(h *host, token worker.FencingToken) {
+	if token == p.tokenFor(h) {
+		p.setFenced(h.report.ID)
+	}
+}
+
 func (p *Pool) setFenced(id worker.ID) {
 	if !p.fenced {
 		p.events.Event("pool-fenced", "pool", p.name, "host", id, "fence", int64(p.token))
@@ -223,8 +229,8 @@
 }
 
 // reconcileMissing handles runs that this owner expects on a host but that are missing from
-// the worker's list, which was requested at sent.
-func (p *Pool) reconcileMissing(h *host, rows []worker.ActiveRun, sent, now time.Time) {
+// the worker's list, which was requested at sent with token.
+func (p *Pool) reconcileMissing(h *host, rows []worker.ActiveRun, token worker.FencingToken, sent, now time.Time) {
 	reported := make(map[runKey]struct{}, len(rows))
 	for n := range rows {
 		reported[runKey{rows[n].Task, rows[n].Run}] = struct{}{}
@@ -235,18 +241,31 @@
 		}
 	}
 	for key, r := range h.runs {
-		if _, ok := reported[key]; ok {
-			continue
-		}
-		switch {
-		case r.state == stateStopping && !r.stopAckedAt.IsZero() && r.stopAckedAt.Before(sent):
-			p.release(r, now, worker.OutcomeStopped)
-		case r.state == stateInherited:
-			// The worker has seen this owner's fencing token, so it refuses a start of an
-			// earlier owner that is still in flight.
-			p.release(r, now, worker.OutcomeLeaseExpired)
-		case r.state == stateRunning && r.startedAt.Before(sent):
-			p.stop(r, "vanished")
+		if _, ok := reported[key]; !ok {
+			p.reconcileMissingRun(r, token, sent, now)
 		}
 	}
 }
+
+func (p *Pool) reconcileMissingRun(r *run, token worker.FencingToken, sent, now time.Time) {
+	sealed := r.host.fence.sealed
+	switch {
+	case r.state == stateStopping && !r.stopAckedAt.IsZero() && r.stopAckedAt.Before(sent):
+		p.release(r, now, worker.OutcomeStopped)
+	case sealed && r.refusedAfter(token):
+		p.release(r, now, worker.OutcomeStopped)
+		p.stopGangOf(r, "gang-incomplete")
+	case r.state == stateInherited && sealed:
+		// The worker has seen this owner's fencing token, so it refuses a start of an
+		// earlier owner that is still in flight.
+		p.release(r, now, worker.OutcomeLeaseExpired)
+	case r.state == stateRunning && r.startedAt.Before(sent):
+		p.stop(r, "vanished")
+	}
+}
+
+// refusedAfter reports whether a worker that has answered an order with token refuses the start of the
+// run, which it may not have begun.
+func (r *run) refusedAfter(token worker.FencingToken) bool {
+	return r.mayBeAbsent() && !r.unsent && r.token != 0 && r.token < token
+}
--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -51,6 +51,7 @@
 	// each was first listed or last ordered to stop.
 	unknownRuns map[runKey]time.Time
 	unanswered  unansweredStarts
+	fence       fence
 	// used is what the runs and the reserved tasks take of the host's capacity.
 	used worker.Resources
 	// reserved holds the tasks for which room is kept.
@@ -89,9 +90,10 @@
 
 // addHost adds a host, with the unanswered starts to it from before it left the pool.
 func (p *Pool) addHost(report worker.Report, knownAt, expiry time.Time) *host {
+	before := p.takeDeparted(report.ID)
 	h := &host{
 		report: report, knownAt: knownAt, expiry: expiry, runs: map[runKey]*run{}, unknownRuns: map[runKey]time.Time{},
-		unanswered: p.takeUnanswered(report.ID),
+		unanswered: before.unanswered, fence: fence{epoch: p.nextEpoch(), lateUntil: before.lateUntil},
 	}
 	p.hosts[report.ID] = h
 	return h
@@ -159,6 +161,7 @@
 func (h *host) nextLease(now time.Time, lease time.Duration) time.Duration {
 	end := (h.clockNow(now) + lease).Truncate(time.Millisecond)
 	h.leaseSent = max(h.leaseSent, end)
+	h.fence.lateUntil = later(h.fence.lateUntil, now.Add(lateOrderTime))
 	h.extendExpiry()
 	return end
 }
@@ -184,6 +187,7 @@
 		return
 	}
 	h.clock, h.clockAt = clock, now
+	h.extendExpiry()
 }
 
 func (h *host) add(r *run) {
--- a/internal/coordination/schedule/host_reports.go
+++ b/internal/coordination/schedule/host_reports.go
@@ -24,9 +24,7 @@
 			p.events.Event("host-unlisted", "host", id, "pool", p.name, "runs", len(h.runs))
 		}
 		if len(h.runs) == 0 && len(h.lapsed) == 0 && !now.Before(h.expiry) {
-			delete(p.hosts, id)
-			delete(p.unacknowledged, id)
-			p.keepUnanswered(h, now)
+			p.remove(h, now)
 		}
 	}
 }
--- a/internal/coordination/schedule/incarnation.go
+++ b/internal/coordination/schedule/incarnation.go
@@ -17,35 +17,31 @@
 func (p *Pool) restartSeen(h *host, now time.Time) {
 	p.events.Event("host-restart-seen", "host", h.report.ID, "pool", p.name, "before", h.incarnation, "runs", len(h.runs))
 	h.confirmed, h.restartSeenAt = false, now
-	p.expectLongestLease(h, now)
-}
-
-// expectLongestLease allows for orders with a lease on the clock of the former incarnation, which
-// the next one may have carried out.
-func (p *Pool) expectLongestLease(h *host, now time.Time) {
-	h.expiry = later(h.expiry, now.Add(p.limits.maxGrantedDuration()))
+	p.unseal(h)
 }
 
 // newIncarnation resets what is known of a host whose worker reports a new incarnation, in an
-// answer that was requested at sent. A restarted worker has none of its earlier runs.
-func (p *Pool) newIncarnation(h *host, incarnation worker.Incarnation, sent, now time.Time) {
+// answer that was requested at sent. A restarted worker has none of its earlier runs. If it is not
+// sealed, it may still begin those whose start may be on its way.
+func (p *Pool) newIncarnation(h *host, incarnation worker.Incarnation, sealed bool, sent, now time.Time) {
 	if h.incarnation != 0 {
 		p.events.Event("host-restarted", "host", h.report.ID, "pool", p.name, "life", incarnation, "before", h.incarnation, "runs", len(h.runs))
 	}
 	known := h.incarnation != 0
 	if known {
 		p.hostCrashed(h, sent, now)
-		p.expectLongestLease(h, now)
+		h.fence.sealed = false
+		h.expiry = later(h.expiry, p.lateExpiry(h))
 	}
 	h.incarnation, h.incarnationAt = incarnation, now
 	h.clock, h.clockAt, h.leaseSent = 0, now, 0
 	h.received, h.acknowledged = 0, 0
 	h.health = health{}
 	clear(h.unknownRuns)
-	h.unanswered.restarted(now)
 	for _, r := range h.runs {
 		r.placedAt = 0
 		switch {
+		case r.state == stateInherited && !sealed:
 		case !known || r.unsent:
 			// An unsent run was on no incarnation; its record or its turn at the host releases it.
 		case r.state == stateSending || r.state == stateUnknown:
--- a/internal/coordination/schedule/incarnation_test.go
+++ b/internal/coordination/schedule/incarnation_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -14,7 +15,7 @@
 	list = func(ended ...worker.EndedRun) {
 		sent := h.now
 		h.advance(5 * time.Millisecond)
-		h.pool.ApplyRenewal(id, sent, h.now, worker.RenewalReply{Clock: h.now.Sub(began), Incarnation: 2, Ended: ended})
+		h.answer(id, sent, worker.RenewalReply{Clock: h.now.Sub(began), Incarnation: 2, Ended: ended})
 	}
 	list()
 	return list
@@ -30,7 +31,7 @@
 	h.add(idA, testStep(1, 1000))
 	starts, _ := h.plan()
 	h.accept(starts...)
-	h.pool.ApplyRenewal("h1", sent, h.now, worker.RenewalReply{Clock: clock, Incarnation: 1})
+	h.pool.ApplyRenewal("h1", h.pool.probe("h1"), sent, h.now, worker.RenewalReply{Clock: clock, Incarnation: 1})
 	again, _ := h.plan()
 	h.wantStarts(again)
 }
@@ -59,42 +60,57 @@
 	}
 }
 
-// TestRestartDoesNotEndTheStopOfAStartWithoutAnAnswer guards against a task that is started a
-// second time while the first start may still be carried out, by the next incarnation, which knows
-// nothing of a stop.
-func TestRestartDoesNotEndTheStopOfAStartWithoutAnAnswer(t *testing.T) {
-	h := newHarness(t, "h1")
-	h.add(idA, testStep(1, 1000))
-	starts, _ := h.plan()
-	h.noAnswer(starts...)
-	h.advance(2 * unknownStartTimeout)
-	_, orders := h.plan()
-	if len(orders.Stops) != 1 {
-		t.Fatalf("%d stops of a start without an answer; want 1", len(orders.Stops))
+// renewal returns the next renewal of a host.
+func (h *harness) renewal(id worker.ID) worker.RenewalOrder {
+	h.Helper()
+	order, ok := h.pool.NextRenewal(id, h.now)
+	if !ok {
+		h.Fatalf("host %s has left the pool", id)
 	}
-	stop := orders.Stops[0]
-	sent := h.now
-	list := h.restart("h1")
-	// The answer of the former incarnation does not bind this one.
-	h.pool.Stopped("h1", stop.Order, sent, h.now, nil)
-	h.advance(10 * time.Millisecond)
-	list()
-	again, orders := h.plan()
-	h.wantStarts(again)
-	if len(orders.Stops) != 1 {
-		t.Fatalf("%d stops at the next incarnation; want 1", len(orders.Stops))
+	return order
+}
+
+// TestStartWithoutAnAnswerWaitsForTheFence guards against a task that is started a second time while
+// the first start may still be carried out by the next incarnation, which knows nothing of a stop.
+func TestStartWithoutAnAnswerWaitsForTheFence(t *testing.T) {
+	for name, fail := range map[string]func(*harness, Start){
+		"no answer":  func(h *harness, s Start) { h.noAnswer(s) },
+		"on its way": func(*harness, Start) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, "h1", "h2")
+			h.renew("h1", 1)
+			before := h.renewal("h1")
+			h.pool.Restrict([]worker.ID{"h2"}, UseNone, h.now)
+			h.add(idA, testStep(1, 1000))
+			starts, _ := h.plan()
+			h.pool.Restrict([]worker.ID{"h2"}, UseAll, h.now)
+			h.advance(time.Millisecond)
+			fail(h, starts[0])
+			next := worker.RenewalReply{Clock: time.Millisecond, Incarnation: 2}
+			h.pool.ApplyRenewal("h1", before, h.now, h.now, next)
+			again, _ := h.plan()
+			h.wantStarts(again)
+			h.advance(h.pool.limits.maxGrantedDuration())
+			h.renew("h2", 1)
+			again, _ = h.plan()
+			h.wantStarts(again)
+			raised := h.renewal("h1")
+			if raised.Token <= starts[0].Order.Token || raised.LeaseEnd != 0 {
+				t.Errorf("order %+v; want one without a lease and with a token above %d", raised, starts[0].Order.Token)
+			}
+			next.Clock += time.Second
+			h.pool.ApplyRenewal("h1", raised, h.now, h.now, next)
+			again, _ = h.plan()
+			h.wantStarts(again, idA+".0.0.0")
+		})
 	}
-	h.pool.Stopped("h1", stop.Order, h.now, h.now, nil)
-	h.advance(100 * time.Millisecond)
-	list()
-	again, _ = h.plan()
-	h.wantStarts(again, idA+".0.0.0")
 }
 
-// TestStoppedStartIsStoppedAgainAfterARestart guards against a task that is started a second time:
-// a start that got no answer and was stopped is carried out late by the next incarnation, also if
-// the worker had left the pool meanwhile.
-func TestStoppedStartIsStoppedAgainAfterARestart(t *testing.T) {
+// TestCancelledStartIsRefusedAfterARestart guards against a cancelled task that runs: a start that got no
+// answer and was stopped is carried out late by the next incarnation, also if the worker had left the
+// pool meanwhile.
+func TestCancelledStartIsRefusedAfterARestart(t *testing.T) {
 	for name, leaves := range map[string]bool{"restart": false, "leaves and comes back": true} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, "h1")
@@ -103,26 +119,25 @@
 			h.noAnswer(starts...)
 			h.advance(2 * unknownStartTimeout)
 			_, orders := h.plan()
-			h.pool.Stopped("h1", orders.Stops[0].Order, h.now, h.now, nil)
+			stop, _ := h.pool.BeginStop("h1", orders.Stops[0].Order, h.now)
+			h.pool.Stopped("h1", stop, h.now, h.now, nil)
 			h.advance(time.Millisecond)
 			h.renew("h1", 1)
 			h.pool.CancelJob(idA, h.now)
 			if leaves {
 				h.pool.RenewalFailed("h1", h.now, h.now, errNoAnswer)
-				h.pool.WorkerEnded("h1", h.lastSeen("h1"), h.now)
+				h.advance(h.pool.limits.maxGrantedDuration())
 				h.list()
 				h.list("h1")
+			} else {
+				h.pool.RenewalFailed("h1", h.now, h.now, errNoAnswer)
 			}
-			list := h.restart("h1")
-			_, orders = h.plan()
-			if len(orders.Stops) != 1 || orders.Stops[0].Order.Run != starts[0].Order.Run {
-				t.Fatalf("stops at the next incarnation: %v; want that of the start without an answer", orders.Stops)
+			order := h.renewal("h1")
+			if order.Token <= starts[0].Order.Token || order.LeaseEnd != 0 {
+				t.Errorf("order %+v; want one without a lease and with a token above %d", order, starts[0].Order.Token)
 			}
-			h.pool.Stopped("h1", orders.Stops[0].Order, h.now, h.now, nil)
-			h.advance(2 * stopRetry)
-			list()
-			if _, orders = h.plan(); len(orders.Stops) != 0 {
-				t.Errorf("a stop that was answered is ordered again: %v", orders.Stops)
+			if starts, _ = h.plan(); len(starts) != 0 {
+				t.Errorf("%d starts on a worker that may carry out earlier orders; want none", len(starts))
 			}
 		})
 	}
@@ -141,7 +156,7 @@
 	if h.acknowledges(id) {
 		h.Error("ends are acknowledged to a worker that has restarted")
 	}
-	h.pool.ApplyRenewal(id, h.now.Add(-time.Millisecond), h.now, worker.RenewalReply{Clock: h.clock(), Incarnation: 1})
+	h.pool.ApplyRenewal(id, h.pool.probe(id), h.now.Add(-time.Millisecond), h.now, worker.RenewalReply{Clock: h.clock(), Incarnation: 1})
 	if h.acknowledges(id) {
 		h.Error("ends are acknowledged to a worker that has restarted, after a list of its former incarnation")
 	}
@@ -209,7 +224,7 @@
 	starts, _ := h.plan()
 	h.advance(2 * time.Millisecond)
 	h.accept(starts...)
-	h.pool.ApplyRenewal("h1", sent, h.now, worker.RenewalReply{Clock: time.Millisecond, Incarnation: 2})
+	h.pool.ApplyRenewal("h1", h.pool.probe("h1"), sent, h.now, worker.RenewalReply{Clock: time.Millisecond, Incarnation: 2})
 	again, _ := h.plan()
 	h.wantStarts(again)
 }
@@ -226,7 +241,7 @@
 	h.pool.Started("h1", starts[0].Order, h.now, worker.StartReply{Clock: time.Millisecond}, false, nil)
 	h.advance(time.Millisecond)
 	running := worker.ActiveRun{Task: starts[0].Order.Task, Run: starts[0].Order.Run, Percent: fullSpeed}
-	h.pool.ApplyRenewal("h1", h.now, h.now, worker.RenewalReply{Clock: 4 * time.Millisecond, Incarnation: 2, Running: []worker.ActiveRun{running}})
+	h.pool.ApplyRenewal("h1", h.pool.probe("h1"), h.now, h.now, worker.RenewalReply{Clock: 4 * time.Millisecond, Incarnation: 2, Running: []worker.ActiveRun{running}})
 	again, _ := h.plan()
 	h.wantStarts(again)
 	if crashes := h.pool.jobs[idA].Crashes(0, 0, 0); crashes != 0 {
@@ -286,38 +301,52 @@
 		"seen by the list": func(h *harness, s Start) {
 			h.accept(s)
 			running := worker.ActiveRun{Task: s.Order.Task, Run: s.Order.Run, Percent: fullSpeed}
-			h.pool.ApplyRenewal("h1", h.now, h.now, worker.RenewalReply{Clock: time.Millisecond, Incarnation: 2, Running: []worker.ActiveRun{running}})
+			h.pool.ApplyRenewal("h1", h.pool.probe("h1"), h.now, h.now, worker.RenewalReply{Clock: time.Millisecond, Incarnation: 2, Running: []worker.ActiveRun{running}})
 		},
 		"seen by the list, after a failed call": func(h *harness, s Start) {
 			h.accept(s)
 			h.pool.RenewalFailed("h1", h.now, h.now, errNoAnswer)
 			running := worker.ActiveRun{Task: s.Order.Task, Run: s.Order.Run, Percent: fullSpeed}
-			h.pool.ApplyRenewal("h1", h.now, h.now, worker.RenewalReply{Clock: time.Millisecond, Incarnation: 2, Running: []worker.ActiveRun{running}})
+			h.pool.ApplyRenewal("h1", h.pool.probe("h1"), h.now, h.now, worker.RenewalReply{Clock: time.Millisecond, Incarnation: 2, Running: []worker.ActiveRun{running}})
 		},
 	} {
-		t.Run(name, func(t *testing.T) {
-			h := newHarness(t, "h1", "h2")
-			h.advance(time.Second)
-			h.renew("h1", 1)
-			h.add(idA, testStep(1, 1000))
-			starts, _ := h.plan()
-			if starts[0].Target.ID != "h1" {
-				t.Fatalf("started on %s; want h1", starts[0].Target.ID)
-			}
-			h.advance(2 * time.Millisecond)
-			restart(h, starts[0])
-			h.pool.RenewalFailed("h1", h.now, h.now, errNoAnswer)
-			h.advance(9 * time.Second)
-			h.renew("h2", 1)
-			again, _ := h.plan()
-			h.wantStarts(again)
-			h.advance(2 * time.Second)
-			again, _ = h.plan()
-			h.wantStarts(again, idA+".0.0.0")
-		})
+		for _, sealed := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/sealed %v", name, sealed), func(t *testing.T) { testLeaseOfTheFormerClock(t, restart, sealed) })
+		}
 	}
 }
 
+// testLeaseOfTheFormerClock starts a task on a worker that restart then restarts, and that is cut off after
+// it was sealed, or before: then orders to its former life may bring leases for as long as they can be late.
+func testLeaseOfTheFormerClock(t *testing.T, restart func(*harness, Start), sealed bool) {
+	h := newHarness(t, "h1", "h2")
+	h.advance(time.Second)
+	h.renew("h1", 1)
+	h.add(idA, testStep(1, 1000))
+	starts, _ := h.plan()
+	if starts[0].Target.ID != "h1" {
+		t.Fatalf("started on %s; want h1", starts[0].Target.ID)
+	}
+	h.advance(2 * time.Millisecond)
+	restart(h, starts[0])
+	if sealed {
+		running := worker.ActiveRun{Task: starts[0].Order.Task, Run: starts[0].Order.Run, Percent: fullSpeed}
+		h.pool.ApplyRenewal("h1", h.renewal("h1"), h.now, h.now, worker.RenewalReply{Clock: 2 * time.Millisecond, Incarnation: 2, Running: []worker.ActiveRun{running}})
+	} else {
+		// The tenure begins at epoch.
+		h.advance(h.pool.limits.MaxUnconfirmed + lateOrderTime)
+	}
+	h.pool.RenewalFailed("h1", h.now, h.now, errNoAnswer)
+	h.advance(9 * time.Second)
+	h.renew("h2", 1)
+	again, _ := h.plan()
+	h.wantStarts(again)
+	h.advance(2 * time.Second)
+	h.renew("h2", 1)
+	again, _ = h.plan()
+	h.wantStarts(again, idA+".0.0.0")
+}
+
 // TestLabelOfTheFormerIncarnation guards against a task that is started on a worker that lacks its label:
 // the worker is back as one of another kind, which it has not reported yet.
 func TestLabelOfTheFormerIncarnation(t *testing.T) {
--- a/internal/coordination/schedule/late_orders_test.go
+++ b/internal/coordination/schedule/late_orders_test.go
@@ -33,7 +33,7 @@
 func (h *harness) renewFrom(id worker.ID, w *fakeWorker) {
 	order, _ := h.pool.NextRenewal(id, h.now)
 	fenced := !w.carryOut(order.Token, order.LeaseEnd, h.now)
-	h.pool.ApplyRenewal(id, h.now, h.now, worker.RenewalReply{Clock: w.clock(h.now), Incarnation: w.incarnation, Running: w.running, Fenced: fenced})
+	h.pool.ApplyRenewal(id, order, h.now, h.now, worker.RenewalReply{Clock: w.clock(h.now), Incarnation: w.incarnation, Running: w.running, Fenced: fenced})
 }
 
 // startOn has a worker carry out starts and accept them.
@@ -64,8 +64,9 @@
 			h.renewFrom("h1", next)
 			stopped, orders := h.plan()
 			for _, s := range orders.Stops {
-				next.carryOut(s.Order.Token, 0, h.now)
-				h.pool.Stopped("h1", s.Order, h.now, h.now, nil)
+				stop, _ := h.pool.BeginStop("h1", s.Order, h.now)
+				next.carryOut(stop.Token, 0, h.now)
+				h.pool.Stopped("h1", stop, h.now, h.now, nil)
 			}
 			h.advance(time.Millisecond)
 			h.renewFrom("h1", next)
--- a/internal/coordination/schedule/neighbours_play_test.go
+++ b/internal/coordination/schedule/neighbours_play_test.go
@@ -211,7 +211,7 @@
 		rows = append(rows, row)
 	}
 	slices.SortFunc(rows, func(a, b worker.ActiveRun) int { return cmp.Compare(a.Task.String(), b.Task.String()) })
-	y.pool.ApplyRenewal(id, y.now, y.now, worker.RenewalReply{Clock: y.clock(), Incarnation: 1, Running: rows, Ended: ended})
+	y.pool.ApplyRenewal(id, y.pool.probe(id), y.now, y.now, worker.RenewalReply{Clock: y.clock(), Incarnation: 1, Running: rows, Ended: ended})
 }
 
 // changingEffects lets another pair of images disturb each other after 30 s.
--- a/internal/coordination/schedule/organisation.go
+++ b/internal/coordination/schedule/organisation.go
@@ -227,8 +227,8 @@
 	for _, h := range p.hosts {
 		p.countUnanswered(h.unanswered, h.runs, now)
 	}
-	for _, starts := range p.unanswered {
-		p.countUnanswered(starts, nil, now)
+	for _, d := range p.departed {
+		p.countUnanswered(d.unanswered, nil, now)
 	}
 }
 
@@ -246,8 +246,8 @@
 func (t *task) over() bool { return t.step.job.Ended() || t.done() }
 
 func (p *Pool) countUnanswered(starts unansweredStarts, attached map[runKey]*run, now time.Time) {
-	for key, u := range starts {
-		if _, ok := attached[key]; ok || now.After(u.until) {
+	for key, until := range starts {
+		if _, ok := attached[key]; ok || now.After(until) {
 			continue
 		}
 		e, ok := p.jobs[jobID(key.task)]
--- a/internal/coordination/schedule/pace.go
+++ b/internal/coordination/schedule/pace.go
@@ -42,7 +42,7 @@
 			p.events.Event("run-paced", "task", r.name, "run", r.number, "host", id, "percent", speed, "tail-load", load)
 			orders.Throttles = append(orders.Throttles, Throttle{
 				worker.Target{ID: id, Address: h.report.Address},
-				worker.ThrottleOrder{Task: r.name, Run: r.number, Percent: speed, Token: p.token},
+				worker.ThrottleOrder{Task: r.name, Run: r.number, Percent: speed, Token: p.useToken(h)},
 			})
 		}
 	}
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -74,10 +74,7 @@
 // expireLeases releases the runs on unresponsive hosts whose leases have expired.
 func (p *Pool) expireLeases(now time.Time) {
 	for _, h := range p.hosts {
-		if now.Before(h.expiry) {
-			continue
-		}
-		if h.confirmed {
+		if h.confirmed || now.Before(h.expiry) {
 			continue
 		}
 		p.logExpiry(h)
@@ -96,7 +93,8 @@
 		return
 	}
 	p.events.Event("host-expired", "host", h.report.ID, "pool", p.name, "runs", len(h.runs), "life", h.incarnation, "life-known", h.incarnationAt,
-		"restart-seen", h.restartSeenAt, "contacted", h.contactedAt, "heard", h.heardAt, "expiry", h.expiry, "unanswered", len(h.unanswered))
+		"sealed", h.fence.sealed, "restart-seen", h.restartSeenAt, "contacted", h.contactedAt, "heard", h.heardAt, "expiry", h.expiry,
+		"unanswered", len(h.unanswered))
 }
 
 // releaseAll releases the runs of a host that has certainly ended all of them.
@@ -167,17 +165,16 @@
 			p.events.Event("run-stop", "task", r.name, "run", r.number, "host", id, "reason", r.stopReason)
 			r.stopQueued = true
 			orders.Stops = append(orders.Stops, Stop{
-				Target: target, Order: worker.StopOrder{Task: r.name, Run: r.number, Token: p.token}, MayBeAbsent: r.mayBeAbsent(),
+				Target: target, Order: worker.StopOrder{Task: r.name, Run: r.number}, MayBeAbsent: r.mayBeAbsent(),
 			})
 		}
-		p.stopUnanswered(h, now, orders)
 		for key, since := range h.unknownRuns {
 			if now.Sub(since) < unknownRunTimeout {
 				continue
 			}
 			h.unknownRuns[key] = now
 			p.events.Event("run-stop", "task", key.task, "run", key.run, "host", id, "reason", "unknown-job")
-			orders.Stops = append(orders.Stops, Stop{Target: target, Order: worker.StopOrder{Task: key.task, Run: key.run, Token: p.token}})
+			orders.Stops = append(orders.Stops, Stop{Target: target, Order: worker.StopOrder{Task: key.task, Run: key.run}})
 		}
 	}
 }
@@ -195,7 +192,6 @@
 		return
 	}
 	key := runKey{order.Task, order.Run}
-	h.unanswered.stopped(key)
 	// Keep the time of the first answer: a list requested after it reflects the stop.
 	if r, ok := h.runs[key]; ok && r.stopAckedAt.IsZero() {
 		r.stopAckedAt = now
@@ -222,6 +218,7 @@
 	}
 	if err != nil && !notSent {
 		p.events.Event("start-unanswered", "task", order.Task, "run", order.Run, "host", id, "error", err)
+		p.raiseFence(h)
 		if r.state == stateSending {
 			r.state, r.startedAt, r.unconfirmed = stateUnknown, now, true
 		}
@@ -253,7 +250,7 @@
 	t.notBefore = now.Add(retryPause)
 	switch refusal {
 	case worker.RefusedFenced:
-		p.setFenced(h.report.ID)
+		p.refusedByFence(h, order.Token)
 	case worker.RefusedLeaseExpired, worker.RefusedInvalid:
 		h.confirmed = false
 		h.pausedUntil = now.Add(capacityPause)
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -44,6 +44,8 @@
 	// plus the longest lease after the tenure begins. It may have taken the worker for its former life
 	// and sent a lease on the clock of that.
 	inheritedExpiry time.Time
+	// formerOrdersUntil is until when an order of an earlier owner may be carried out.
+	formerOrdersUntil time.Time
 	// checksCapacity is false also while it is not known.
 	checksCapacity bool
 	jobs           map[job.ID]*jobEntry
@@ -61,8 +63,10 @@
 	hosts      map[worker.ID]*host
 	// organisations holds what the owners of the jobs use and may use.
 	organisations organisations
-	// unanswered holds the starts without an answer to workers that have left the pool.
-	unanswered map[worker.ID]unansweredStarts
+	// departed holds what is known of workers that have left the pool.
+	departed map[worker.ID]departed
+	// epoch is the highest of all hosts.
+	epoch int64
 	// fenced is set once a host has accepted the fencing token of a later owner.
 	fenced    bool
 	estimates estimates
@@ -82,11 +86,12 @@
 func New(name string, token worker.FencingToken, limits Limits, now time.Time, events Events, opts ...Option) *Pool {
 	p := &Pool{
 		name: name, limits: limits, token: token, events: events, tenureStart: now,
-		inheritedExpiry: now.Add(limits.MaxUnconfirmed + limits.maxGrantedDuration()),
-		jobs:            map[job.ID]*jobEntry{}, hosts: map[worker.ID]*host{},
+		inheritedExpiry:   now.Add(limits.MaxUnconfirmed + limits.maxGrantedDuration()),
+		formerOrdersUntil: now.Add(limits.MaxUnconfirmed + lateOrderTime),
+		jobs:              map[job.ID]*jobEntry{}, hosts: map[worker.ID]*host{},
 		open: map[job.ID]*jobEntry{}, dirty: map[job.ID]*jobEntry{}, unacknowledged: map[worker.ID]*host{},
 		reservations: map[*task]reservation{}, suspects: map[*task]struct{}{},
-		unanswered: map[worker.ID]unansweredStarts{}, estimates: estimates{}, organisations: newOrganisations(),
+		departed: map[worker.ID]departed{}, estimates: estimates{}, organisations: newOrganisations(),
 	}
 	for _, apply := range opts {
 		apply(p)
--- a/internal/coordination/schedule/schedule_test.go
+++ b/internal/coordination/schedule/schedule_test.go
@@ -62,7 +62,7 @@
 		}
 		// The renewal was sent before the stop was answered and takes its full wait.
 		h.advance(time.Second)
-		h.pool.ApplyRenewal(s.Target.ID, sent, h.now, worker.RenewalReply{Clock: h.now.Sub(epoch) + time.Second, Incarnation: 1})
+		h.pool.ApplyRenewal(s.Target.ID, h.pool.probe(s.Target.ID), sent, h.now, worker.RenewalReply{Clock: h.now.Sub(epoch) + time.Second, Incarnation: 1})
 		if again, _ := h.plan(); len(again) > 0 {
 			h.wantStarts(again, idA+".0.0.0")
 			if again[0].Order.Run <= s.Order.Run {
@@ -152,7 +152,7 @@
 	h.renew("h1", 1, endedRun(starts[0], worker.OutcomeDone))
 	h.plan()
 	old := []worker.ActiveRun{{Task: starts[0].Order.Task, Run: starts[0].Order.Run, Percent: 100, Usage: 1}}
-	h.pool.ApplyRenewal("h1", h.now, h.now, worker.RenewalReply{Clock: clock, Incarnation: 1, Running: old})
+	h.pool.ApplyRenewal("h1", h.pool.probe("h1"), h.now, h.now, worker.RenewalReply{Clock: clock, Incarnation: 1, Running: old})
 	if runs := h.pool.Load(h.now).Hosts["h1"].Runs; runs != 0 {
 		t.Errorf("%d runs after an outdated reply", runs)
 	}
--- a/internal/coordination/schedule/share_load_test.go
+++ b/internal/coordination/schedule/share_load_test.go
@@ -188,7 +188,7 @@
 			l.ended[id]++
 			reply.Ended = append(reply.Ended, worker.EndedRun{Number: l.ended[id], Task: key.task, Run: key.run, Outcome: worker.OutcomeDone})
 		}
-		l.pool.ApplyRenewal(id, l.now, l.now, reply)
+		l.pool.ApplyRenewal(id, l.pool.probe(id), l.now, l.now, reply)
 	}
 	starts, _ := l.plan()
 	for _, s := range starts {
--- a/internal/coordination/schedule/start.go
+++ b/internal/coordination/schedule/start.go
@@ -13,7 +13,7 @@
 	return Start{
 		Target: worker.Target{ID: r.host.report.ID, Address: r.host.report.Address},
 		Order: worker.StartOrder{
-			Task: r.name, Run: r.number, Spec: r.task.step.job.Spec, Token: p.token, Checkpoint: r.checkpoint,
+			Task: r.name, Run: r.number, Spec: r.task.step.job.Spec, Checkpoint: r.checkpoint,
 		},
 	}
 }
@@ -37,12 +37,12 @@
 		return order, false
 	}
 	e, queued := r.task.step.job, now.Sub(r.sentAt)
-	r.state, r.unsent, r.queued, r.sentAt = stateSending, false, false, now
+	r.state, r.unsent, r.queued, r.sentAt, r.token = stateSending, false, false, now, p.useToken(h)
 	h.lastStart = now
 	h.unanswered.add(r.key(), now)
-	order.Ticket, order.LeaseEnd = ticket, h.nextLease(now, p.startLease(r))
+	order.Token, order.Ticket, order.LeaseEnd = r.token, ticket, h.nextLease(now, p.startLease(r))
 	pairs := []any{
-		"task", r.name, "run", r.number, "host", id, "fence", int64(p.token),
+		"task", r.name, "run", r.number, "host", id, "fence", int64(p.token), "epoch", h.fence.epoch,
 		"waited", now.Sub(e.AcceptedAt), "left-to-objective", e.objective(r.name.Occurrence).Sub(now),
 		"queued", queued, "other-runs", len(r.task.runs) - 1, "heard", now.Sub(h.heardAt), "checkpoint", r.checkpoint,
 	}
--- a/internal/coordination/schedule/start_test.go
+++ b/internal/coordination/schedule/start_test.go
@@ -57,7 +57,7 @@
 func TestQueuedStartOfAFencedPoolIsNotSent(t *testing.T) {
 	h := newHarness(t, "h1", "h2")
 	original, copied := queuedCopy(h)
-	h.pool.ApplyRenewal(original.Target.ID, h.now, h.now, worker.RenewalReply{Fenced: true})
+	h.pool.ApplyRenewal(original.Target.ID, h.pool.probe(original.Target.ID), h.now, h.now, worker.RenewalReply{Fenced: true})
 	if _, ok := h.pool.BeginStart(copied.Target.ID, copied.Order, h.now); ok {
 		t.Error("the start was sent although a later owner was seen")
 	}
--- a/internal/coordination/schedule/stop.go
+++ b/internal/coordination/schedule/stop.go
@@ -13,27 +13,33 @@
 	reasonUnanswered = "unanswered"
 )
 
-// BeginStop reports whether a stop that is about to be sent is still wanted. A long-running
-// task whose step allows no further absence by then stays where it is.
-func (p *Pool) BeginStop(id worker.ID, order worker.StopOrder, now time.Time) bool {
+// BeginStop completes a stop order that is about to be sent. It returns false if the stop is not
+// wanted any more; the order must not be sent then. A long-running task whose step allows no further
+// absence by then stays where it is.
+func (p *Pool) BeginStop(id worker.ID, order worker.StopOrder, now time.Time) (worker.StopOrder, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h, ok := p.hosts[id]
-	if !ok || p.fenced {
-		return false
+	if !ok || p.fenced || !p.wantsStop(h, runKey{order.Task, order.Run}, now) {
+		return order, false
 	}
-	key := runKey{order.Task, order.Run}
+	// Carried out late, a stop changes nothing: run numbers rise.
+	order.Token = p.tokenFor(h)
+	return order, true
+}
+
+func (p *Pool) wantsStop(h *host, key runKey, now time.Time) bool {
 	r, ok := h.runs[key]
 	if !ok {
 		_, unknown := h.unknownRuns[key]
-		return unknown || h.unanswered.wantsStop(key)
+		return unknown
 	}
 	r.stopQueued = false
 	if r.state != stateStopping {
 		return false
 	}
 	if p.mustStay(r, now) {
-		p.events.Event("stop-dropped", "task", r.name, "run", r.number, "host", id, "reason", r.stopReason)
+		p.events.Event("stop-dropped", "task", r.name, "run", r.number, "host", h.report.ID, "reason", r.stopReason)
 		p.unreserve(r.task)
 		r.state, r.unconfirmed = stateRunning, false
 		return false
--- a/internal/coordination/schedule/stop_test.go
+++ b/internal/coordination/schedule/stop_test.go
@@ -27,7 +27,7 @@
 	h := newHarness(t, "h1", "h2", "h3")
 	move, other := queuedMove(h)
 	h.pool.RenewalFailed(other.Target.ID, h.now, h.now, errNoAnswer)
-	if h.pool.BeginStop(move.Target.ID, move.Order, h.now) {
+	if _, ok := h.pool.BeginStop(move.Target.ID, move.Order, h.now); ok {
 		t.Error("a task at work was stopped while the other task of its step was away")
 	}
 	if reserved := len(h.pool.reservations); reserved != 0 {
@@ -42,7 +42,7 @@
 	if orders := h.pool.Plan(h.now); len(orders.Stops) != 0 {
 		t.Errorf("%d stops of a run whose stop waits; want 0", len(orders.Stops))
 	}
-	if !h.pool.BeginStop(move.Target.ID, move.Order, h.now) {
+	if _, ok := h.pool.BeginStop(move.Target.ID, move.Order, h.now); !ok {
 		t.Fatal("the stop was not sent")
 	}
 	h.advance(stopRetry)
--- a/internal/coordination/schedule/task.go
+++ b/internal/coordination/schedule/task.go
@@ -131,6 +131,8 @@
 	stopQueued bool
 	stopReason string
 	checkpoint string
+	// token is the fencing token of the start order, 0 for one that an earlier owner sent.
+	token worker.FencingToken
 	// unsent is set until the start order is sent, queued while it waits for its turn.
 	unsent, queued bool
 	// unconfirmed is set when the start got no answer and no host has listed the run since.
--- a/internal/coordination/schedule/unanswered.go
+++ b/internal/coordination/schedule/unanswered.go
@@ -11,22 +11,13 @@
 const lateOrderTime = 15 * time.Second
 
 // unansweredStarts are the starts that were sent to a host, of which no answer has come and which it
-// has not listed. The next incarnation may still carry them out, since it knows nothing of stops
-// before it.
-type unansweredStarts map[runKey]*unansweredStart
-
-type unansweredStart struct {
-	// until is when the start can't be carried out any more.
-	until time.Time
-	// stop is set while the present incarnation has not answered a stop of the start.
-	stop bool
-	// stopSentAt is when that was last ordered, zero before.
-	stopSentAt time.Time
-}
+// has not listed, with the time until when each may still be carried out, by an incarnation that is not
+// sealed.
+type unansweredStarts map[runKey]time.Time
 
 func (s unansweredStarts) add(key runKey, sent time.Time) {
 	s.expire(sent)
-	s[key] = &unansweredStart{until: sent.Add(lateOrderTime)}
+	s[key] = sent.Add(lateOrderTime)
 }
 
 // startAnswered removes a start to a worker that may have left the pool meanwhile.
@@ -35,67 +26,34 @@
 		delete(h.unanswered, key)
 		return
 	}
-	delete(p.unanswered[id], key)
-}
-
-// restarted has the starts stopped that the next incarnation may still carry out.
-func (s unansweredStarts) restarted(now time.Time) {
-	s.expire(now)
-	for _, u := range s {
-		u.stop, u.stopSentAt = true, time.Time{}
-	}
+	delete(p.departed[id].unanswered, key)
 }
 
 func (s unansweredStarts) expire(now time.Time) {
-	maps.DeleteFunc(s, func(_ runKey, u *unansweredStart) bool { return now.After(u.until) })
+	maps.DeleteFunc(s, func(_ runKey, until time.Time) bool { return now.After(until) })
 }
 
-// stopped records that the present incarnation has answered a stop.
-func (s unansweredStarts) stopped(key runKey) {
-	if u, ok := s[key]; ok {
-		u.stop = false
-	}
+// departed is what is kept of a host that has left the pool, whose worker may come back under its ID.
+type departed struct {
+	unanswered unansweredStarts
+	// lateUntil is until when an order to the host may be carried out.
+	lateUntil time.Time
 }
 
-func (s unansweredStarts) wantsStop(key runKey) bool {
-	u, ok := s[key]
-	return ok && u.stop
-}
-
-// stopUnanswered orders the stops of starts whose runs were released before a restart of the host.
-func (p *Pool) stopUnanswered(h *host, now time.Time, orders *Orders) {
-	for key, u := range h.unanswered {
-		if _, ok := h.runs[key]; ok || !u.stop || now.After(u.until) || now.Sub(u.stopSentAt) < stopRetry {
-			continue
-		}
-		u.stopSentAt = now
-		p.events.Event("run-stop", "task", key.task, "run", key.run, "host", h.report.ID, "reason", reasonUnanswered)
-		orders.Stops = append(orders.Stops, Stop{
-			Target: worker.Target{ID: h.report.ID, Address: h.report.Address},
-			Order:  worker.StopOrder{Task: key.task, Run: key.run, Token: p.token},
-		})
-	}
-}
-
-// keepUnanswered keeps the unanswered starts to a host that leaves the pool, whose worker may come
-// back under its ID.
-func (p *Pool) keepUnanswered(h *host, now time.Time) {
-	for id, starts := range p.unanswered {
-		starts.expire(now)
-		if len(starts) == 0 {
-			delete(p.unanswered, id)
-		}
-	}
-	if len(h.unanswered) > 0 {
-		p.unanswered[h.report.ID] = h.unanswered
-	}
+// remove removes a host from the pool.
+func (p *Pool) remove(h *host, now time.Time) {
+	maps.DeleteFunc(p.departed, func(_ worker.ID, d departed) bool { return now.After(d.lateUntil) })
+	delete(p.hosts, h.report.ID)
+	delete(p.unacknowledged, h.report.ID)
+	p.departed[h.report.ID] = departed{h.unanswered, h.fence.lateUntil}
 }
 
-func (p *Pool) takeUnanswered(id worker.ID) unansweredStarts {
-	starts, ok := p.unanswered[id]
+// takeDeparted returns what is known of a host that joins the pool, from before it last left.
+func (p *Pool) takeDeparted(id worker.ID) departed {
+	d, ok := p.departed[id]
 	if !ok {
-		return unansweredStarts{}
+		return departed{unanswered: unansweredStarts{}}
 	}
-	delete(p.unanswered, id)
-	return starts
+	delete(p.departed, id)
+	return d
 }
--- a/internal/jobhost/conversation.go
+++ b/internal/jobhost/conversation.go
@@ -78,7 +78,7 @@
 		c.runner.pool.RenewalFailed(id, sent, now, err)
 		return false
 	}
-	c.runner.pool.ApplyRenewal(id, sent, now, reply)
+	c.runner.pool.ApplyRenewal(id, order, sent, now, reply)
 	if len(reply.Ended) > 0 {
 		c.runner.signalRecorder()
 	}
--- a/internal/jobhost/pool_runner.go
+++ b/internal/jobhost/pool_runner.go
@@ -214,7 +214,7 @@
 		// The renewal loop detects an unresponsive host.
 		return
 	}
-	r.pool.ApplyRenewal(target.ID, now, r.host.now(), reply)
+	r.pool.ApplyRenewal(target.ID, order, now, r.host.now(), reply)
 	r.signalRecorder()
 }
 
@@ -225,13 +225,14 @@
 		r.pool.StopNotSent(stop.Target.ID, stop.Order)
 		return
 	}
-	if !r.pool.BeginStop(stop.Target.ID, stop.Order, now) {
+	order, ok := r.pool.BeginStop(stop.Target.ID, stop.Order, now)
+	if !ok {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
-	err := r.host.platform.Workers.Stop(ctx, stop.Target, stop.Order)
-	r.pool.Stopped(stop.Target.ID, stop.Order, now, r.host.now(), err)
+	err := r.host.platform.Workers.Stop(ctx, stop.Target, order)
+	r.pool.Stopped(stop.Target.ID, order, now, r.host.now(), err)
 	if err == nil && stop.MayBeAbsent {
 		r.query(stop.Target.ID)
 	}
--- a/internal/jobhost/pool_runner_test.go
+++ b/internal/jobhost/pool_runner_test.go
@@ -44,8 +44,9 @@
 // list delivers the host's list of runs.
 func (r *runnerTest) list(running ...worker.ActiveRun) {
 	sent := r.now
+	order, _ := r.runner.pool.ImmediateRenewal(testHost, sent)
 	r.now = r.now.Add(5 * time.Millisecond)
-	r.runner.pool.ApplyRenewal(testHost, sent, r.now, worker.RenewalReply{Clock: r.now.Sub(time.Time{}), Incarnation: 1, Running: running})
+	r.runner.pool.ApplyRenewal(testHost, order, sent, r.now, worker.RenewalReply{Clock: r.now.Sub(time.Time{}), Incarnation: 1, Running: running})
 }
 
 func (r *runnerTest) add(step job.Step) {
