schedule: keep a start without an answer from running beside a second one

Callers could see: a task runs twice although its owner saw its worker end. A start is sent into the dark, the list of machines shows that the worker has ended, and the task is started elsewhere at once; the worker comes back under its ID and carries out the first start.

Cause: an ended worker, and an expired lease, were taken for the end of all its runs, also of those that it may not have begun.

Evidence: TestStartWithoutAnAnswerWaitsForTheFence failed before in the case "ended, by the list": started again in the next plan.

Fix: such a run is kept until a sealed incarnation doesn't list it, until the start can't be carried out any more, or, if the worker can't be seen, until the lease that it would have is over as well. Where the machine has another worker, moves or is maintained, the ID does not come back, and the run is released at once: the fleet owner tells the pool's owner that, in a new field of the message. The crash is counted against all runs of the worker when it is first known, and not again when the kept ones are released (TestCrashIsBlamedOnce, which failed on a draft of this change).

TestUnansweredStartIsBlamed had its second start at once after such a crash. It now has the two ways in which the first start settles, and what it checks, the blame, is as before. TestOrderedEndIsBlamed accepts its starts, since it is not about answers.

--- a/internal/coordination/capacity/gone.go
+++ b/internal/coordination/capacity/gone.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/machine"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
 
@@ -13,6 +14,17 @@
 // answer.
 const answerDelayMargin = 200 * time.Millisecond
 
+// MayReturn reports whether a worker that has ended may come back under its ID, on the machine that it
+// was on: that is down, without another worker.
+func (v *View) MayReturn(machineName string) bool {
+	for n := range v.Machines {
+		if m := &v.Machines[n]; m.Name == machineName {
+			return m.Worker == "" && m.State != machine.Moving && m.State != machine.Maintenance
+		}
+	}
+	return false
+}
+
 // GoneWorkers lists the unresponsive workers of a pool that have certainly ended: they were
 // last known to be alive before the machines were listed, and no machine in the list runs
 // them.
--- a/internal/coordination/capacity/gone_test.go
+++ b/internal/coordination/capacity/gone_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/machine"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
 
@@ -26,3 +27,19 @@
 		t.Errorf("gone (-want +got):\n%s", diff)
 	}
 }
+
+// TestWorkerOfARunningMachineMayReturn guards against tasks that wait for a worker that can't come back.
+func TestWorkerOfARunningMachineMayReturn(t *testing.T) {
+	v := View{Machines: []machine.Machine{
+		{Name: "down", State: machine.Down}, {Name: "unknown"}, {Name: "replaced", State: machine.Up, Worker: "w-2"},
+		{Name: "moving", State: machine.Moving}, {Name: "maintained", State: machine.Maintenance},
+	}}
+	got := map[string]bool{}
+	for _, name := range []string{"down", "unknown", "replaced", "moving", "maintained", "removed"} {
+		got[name] = v.MayReturn(name)
+	}
+	want := map[string]bool{"down": true, "unknown": true, "replaced": false, "moving": false, "maintained": false, "removed": false}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("workers that may return, by their machines (-want +got):\n%s", diff)
+	}
+}
--- a/internal/coordination/schedule/crash.go
+++ b/internal/coordination/schedule/crash.go
@@ -1,6 +1,9 @@
 package schedule
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// startupTime is how long after the start of a run a crash of its host is put down to the run.
@@ -30,6 +33,9 @@
 	if len(starting)+len(working) == 0 {
 		return
 	}
+	for _, r := range slices.Concat(starting, working) {
+		r.lost = true
+	}
 	p.events.Event("host-crashed", "host", h.report.ID, "pool", p.name, "life", h.incarnation, "heard", h.heardAt,
 		"starting", len(starting), "working", len(working))
 	if !p.blameStarting(starting, now) {
@@ -41,13 +47,13 @@
 // those that were starting and those that the host has borne for a while.
 func (h *host) lostRuns(until time.Time) (starting, working []*run) {
 	for _, r := range h.lapsed {
-		if r.needed() {
+		if r.needed() && !r.lost {
 			starting = append(starting, r)
 		}
 	}
 	for _, r := range h.runs {
 		switch {
-		case !r.needed() || r.mayBeOnNext(until):
+		case !r.needed() || r.lost || r.mayBeOnNext(until):
 		case r.starting():
 			starting = append(starting, r)
 		default:
--- a/internal/coordination/schedule/crash_test.go
+++ b/internal/coordination/schedule/crash_test.go
@@ -57,17 +57,66 @@
 
 // TestUnansweredStartIsBlamed: a host may have crashed before it began the task.
 func TestUnansweredStartIsBlamed(t *testing.T) {
-	h := newHarness(t, "h1", "h2", "h3")
-	h.add(idA, testStep(1, 1000))
-	first, _ := h.plan()
-	h.crash(first[0].Target.ID)
-	for _, want := range []job.State{job.Running, job.Failed} {
-		h.advance(time.Second)
-		starts, _ := h.plan()
-		h.wantStarts(starts, idA+".0.0.0")
-		h.accept(starts...)
-		h.crash(starts[0].Target.ID)
-		h.wantState(idA, want)
+	for name, settle := range map[string]func(*harness, worker.ID){
+		"the worker is back": func(h *harness, id worker.ID) { h.renew(id, 2) },
+		"the worker is gone": func(h *harness, id worker.ID) {
+			h.advance(lateOrderTime + time.Millisecond)
+			h.pool.WorkerEnded(id, h.lastSeen(id), h.now)
+			h.renew("h1", 1)
+			h.renew("h2", 1)
+			h.renew("h3", 1)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, "h1", "h2", "h3")
+			h.add(idA, testStep(1, 1000))
+			first, _ := h.plan()
+			h.crash(first[0].Target.ID)
+			settle(h, first[0].Target.ID)
+			for _, want := range []job.State{job.Running, job.Failed} {
+				h.advance(time.Second)
+				starts, _ := h.plan()
+				h.wantStarts(starts, idA+".0.0.0")
+				h.accept(starts...)
+				h.crash(starts[0].Target.ID)
+				h.wantState(idA, want)
+			}
+		})
+	}
+}
+
+// TestCrashIsBlamedOnce guards against a job that is given up for one crash: the run whose start got no
+// answer outlasts the others of its host, and is alone when the crash is seen again.
+func TestCrashIsBlamedOnce(t *testing.T) {
+	for name, again := range map[string]func(*harness){
+		"by the next incarnation": func(h *harness) { h.renew("h1", 2) },
+		"by the expiry": func(h *harness) {
+			h.advance(lateOrderTime + h.pool.limits.maxGrantedDuration())
+			h.plan()
+		},
+		"by the list of machines": func(h *harness) {
+			h.advance(lateOrderTime + time.Millisecond)
+			h.pool.WorkerEnded("h1", h.lastSeen("h1"), h.now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, "h1")
+			h.add(idA, testStep(1, 1000))
+			h.add(idB, testStep(1, 1000))
+			for run := range int64(blamedCrashes) {
+				h.pool.jobs[idA].MarkCrashed(0, 0, 0, run)
+			}
+			starts, _ := h.plan()
+			sortStarts(starts)
+			h.wantStarts(starts, idA+".0.0.0", idB+".0.0.0")
+			h.accept(starts[1])
+			h.advance(time.Millisecond)
+			h.crash("h1")
+			again(h)
+			if h.pool.jobs[idA].Ended() {
+				t.Error("the job was given up")
+			}
+		})
 	}
 }
 
@@ -189,10 +238,12 @@
 	h := newHarness(t, "h1", "h2")
 	h.add(idA, testStep(1, 1000))
 	starts, _ := h.plan()
+	h.accept(starts...)
 	h.pool.Restrict([]worker.ID{starts[0].Target.ID}, UseNone, h.now)
 	h.crash(starts[0].Target.ID)
 	starts, _ = h.plan()
 	h.wantStarts(starts, idA+".0.0.0")
+	h.accept(starts...)
 	leaving := report(starts[0].Target.ID)
 	leaving.Draining = true
 	h.pool.SetHosts([]worker.Report{leaving}, h.now)
--- a/internal/coordination/schedule/fence.go
+++ b/internal/coordination/schedule/fence.go
@@ -84,3 +84,13 @@
 func (p *Pool) lateExpiry(h *host) time.Time {
 	return later(h.fence.lateUntil, p.formerOrdersUntil).Add(p.limits.maxGrantedDuration())
 }
+
+// mayBeginLate returns until when the start of a run may be carried out by an incarnation of the host's
+// worker that the owner does not know, so that the task must not run elsewhere. Copies may.
+func (r *run) mayBeginLate() (until time.Time, mayBegin bool) {
+	if r.task.step.def.Speculative {
+		return time.Time{}, false
+	}
+	until, mayBegin = r.host.unanswered[r.key()]
+	return until, mayBegin
+}
--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -203,6 +203,17 @@
 	h.used = h.used.Minus(r.needs)
 }
 
+// runsWhere returns the runs on the host for which a condition holds.
+func (h *host) runsWhere(holds func(*run) bool) []*run {
+	var found []*run
+	for _, r := range h.runs {
+		if holds(r) {
+			found = append(found, r)
+		}
+	}
+	return found
+}
+
 // stepRuns returns how many runs of a step, in its occurrence, are on the host.
 func (h *host) stepRuns(s *step) int {
 	n := 0
--- a/internal/coordination/schedule/host_reports.go
+++ b/internal/coordination/schedule/host_reports.go
@@ -60,19 +60,36 @@
 
 // WorkerEnded releases the runs of a worker that, according to the list of machines, has
 // ended, though it was last seen at lastSeen. It does nothing if the worker answers or was seen
-// since, since it can't be the one that ended.
+// since, since it can't be the one that ended. It may come back under its ID, and then carry out a start
+// that got no answer.
 func (p *Pool) WorkerEnded(id worker.ID, lastSeen, now time.Time) {
+	p.workerEnded(id, lastSeen, now, false)
+}
+
+// WorkerReplaced is WorkerEnded for a worker that can't come back under its ID.
+func (p *Pool) WorkerReplaced(id worker.ID, lastSeen, now time.Time) {
+	p.workerEnded(id, lastSeen, now, true)
+}
+
+func (p *Pool) workerEnded(id worker.ID, lastSeen, now time.Time, replaced bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h, ok := p.hosts[id]
 	if !ok || h.confirmed || !h.lastSeen().Equal(lastSeen) {
 		return
 	}
-	p.events.Event("host-gone", "host", id, "pool", p.name, "runs", len(h.runs), "heard", h.heardAt)
+	ended := h.runsWhere(func(r *run) bool {
+		until, mayBegin := r.mayBeginLate()
+		return !r.unsent && (!mayBegin || replaced || now.After(until))
+	})
+	if len(ended)+len(h.lapsed) == 0 {
+		return
+	}
+	p.events.Event("host-gone", "host", id, "pool", p.name, "runs", len(ended), "may-begin-late", len(h.runs)-len(ended), "replaced", replaced, "heard", h.heardAt)
 	p.hostCrashed(h, now, now)
 	h.forgetLapsed()
 	h.expiry = now
-	p.releaseAll(h, now)
+	p.releaseAll(h, ended, now)
 }
 
 // Hosts returns the hosts whose leases are to be renewed.
--- a/internal/coordination/schedule/incarnation_test.go
+++ b/internal/coordination/schedule/incarnation_test.go
@@ -74,8 +74,10 @@
 // the first start may still be carried out by the next incarnation, which knows nothing of a stop.
 func TestStartWithoutAnAnswerWaitsForTheFence(t *testing.T) {
 	for name, fail := range map[string]func(*harness, Start){
-		"no answer":  func(h *harness, s Start) { h.noAnswer(s) },
-		"on its way": func(*harness, Start) {},
+		"no answer":          func(h *harness, s Start) { h.noAnswer(s) },
+		"on its way":         func(*harness, Start) {},
+		"silence":            func(h *harness, _ Start) { h.pool.RenewalFailed("h1", h.now, h.now, errNoAnswer) },
+		"ended, by the list": func(h *harness, _ Start) { h.crash("h1") },
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, "h1", "h2")
@@ -107,6 +109,33 @@
 	}
 }
 
+// TestStartOnAWorkerThatIsGoneWaitsTooLong guards against a task that waits for orders which nobody can carry
+// out any more: its worker was replaced, or has been gone for as long as an order can be late.
+func TestStartOnAWorkerThatIsGoneWaitsTooLong(t *testing.T) {
+	for name, ended := range map[string]func(*harness){
+		"replaced": func(h *harness) { h.pool.WorkerReplaced("h1", h.lastSeen("h1"), h.now) },
+		"gone for long": func(h *harness) {
+			h.pool.WorkerEnded("h1", h.lastSeen("h1"), h.now)
+			h.advance(lateOrderTime + time.Millisecond)
+			h.pool.WorkerEnded("h1", h.lastSeen("h1"), h.now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, "h1", "h2")
+			h.pool.Restrict([]worker.ID{"h2"}, UseNone, h.now)
+			h.add(idA, testStep(1, 1000))
+			starts, _ := h.plan()
+			h.pool.Restrict([]worker.ID{"h2"}, UseAll, h.now)
+			h.noAnswer(starts...)
+			h.pool.RenewalFailed("h1", h.now, h.now, errNoAnswer)
+			ended(h)
+			h.renew("h2", 1)
+			again, _ := h.plan()
+			h.wantStarts(again, idA+".0.0.0")
+		})
+	}
+}
+
 // TestCancelledStartIsRefusedAfterARestart guards against a cancelled task that runs: a start that got no
 // answer and was stopped is carried out late by the next incarnation, also if the worker had left the
 // pool meanwhile.
--- a/internal/coordination/schedule/lapsed.go
+++ b/internal/coordination/schedule/lapsed.go
@@ -8,17 +8,17 @@
 // lapsedRetention bounds how long it may stay unknown whether a silent worker has crashed.
 const lapsedRetention = 2 * time.Minute
 
-// keepLapsed keeps the starting runs of a silent host whose leases have expired. Its worker may
+// keepLapsed keeps the starting ones of the runs of a silent host whose leases have expired. Its worker may
 // have crashed, which only the list of machines or an answer shows. One that was cut off has ended them
 // before it can crash.
-func (p *Pool) keepLapsed(h *host, now time.Time) {
+func (p *Pool) keepLapsed(h *host, ended []*run, now time.Time) {
 	if now.Sub(h.expiry) > lapsedRetention {
 		h.forgetLapsed()
 	}
 	if h.wasToldToLeave() || h.wasCutOff() {
 		return
 	}
-	for _, r := range h.runs {
+	for _, r := range ended {
 		if r.needed() && r.starting() {
 			h.lapsed = append(h.lapsed, r)
 			r.task.lapsedRuns++
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -77,32 +77,41 @@
 		if h.confirmed || now.Before(h.expiry) {
 			continue
 		}
-		p.logExpiry(h)
-		if h.fellSilentAtStart() {
+		ended := p.expiredRuns(h, now)
+		p.logExpiry(h, len(ended))
+		if h.fellSilentAtStart() && len(ended) > 0 {
 			p.hostCrashed(h, now, now)
 		} else {
-			p.keepLapsed(h, now)
+			p.keepLapsed(h, ended, now)
 		}
-		p.releaseAll(h, now)
+		p.releaseAll(h, ended, now)
 	}
 }
 
 // logExpiry logs by what the leases of a host with runs are taken for expired.
-func (p *Pool) logExpiry(h *host) {
-	if len(h.runs) == 0 {
+func (p *Pool) logExpiry(h *host, ended int) {
+	if ended == 0 {
 		return
 	}
-	p.events.Event("host-expired", "host", h.report.ID, "pool", p.name, "runs", len(h.runs), "life", h.incarnation, "life-known", h.incarnationAt,
-		"sealed", h.fence.sealed, "restart-seen", h.restartSeenAt, "contacted", h.contactedAt, "heard", h.heardAt, "expiry", h.expiry,
-		"unanswered", len(h.unanswered))
+	p.events.Event("host-expired", "host", h.report.ID, "pool", p.name, "runs", ended, "may-begin-late", len(h.runs)-ended, "life", h.incarnation,
+		"life-known", h.incarnationAt, "sealed", h.fence.sealed, "restart-seen", h.restartSeenAt, "contacted", h.contactedAt, "heard", h.heardAt,
+		"expiry", h.expiry, "unanswered", len(h.unanswered))
 }
 
-// releaseAll releases the runs of a host that has certainly ended all of them.
-func (p *Pool) releaseAll(h *host, now time.Time) {
-	for _, r := range h.runs {
-		if !r.unsent {
-			p.release(r, now, worker.OutcomeLeaseExpired)
-		}
+// expiredRuns returns the runs of a host whose leases have expired, without those that its next
+// incarnation may have begun late.
+func (p *Pool) expiredRuns(h *host, now time.Time) []*run {
+	allExpired := !now.Before(h.fence.lateUntil.Add(p.limits.maxGrantedDuration()))
+	return h.runsWhere(func(r *run) bool {
+		_, mayBegin := r.mayBeginLate()
+		return !r.unsent && (!mayBegin || allExpired)
+	})
+}
+
+// releaseAll releases runs that have certainly ended with the lease of their host.
+func (p *Pool) releaseAll(h *host, ended []*run, now time.Time) {
+	for _, r := range ended {
+		p.release(r, now, worker.OutcomeLeaseExpired)
 	}
 	clear(h.unknownRuns)
 }
--- a/internal/coordination/schedule/task.go
+++ b/internal/coordination/schedule/task.go
@@ -140,6 +140,8 @@
 	// resumed is set when the run began from a checkpoint, adopted when an earlier owner
 	// started it. The durations of such runs don't count for the estimates.
 	resumed, adopted bool
+	// lost is set once a crash was counted against the run.
+	lost bool
 	// onNext is set when the start was answered by an incarnation that has not sent a list yet.
 	onNext bool
 	// atWork is set once the host has listed the run at full speed, and while it does.
--- a/internal/jobhost/fleet_machines.go
+++ b/internal/jobhost/fleet_machines.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/coordination/capacity"
 	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/machine"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
 
 // reportGone reports to the pools' owners which of their unresponsive workers have ended
@@ -14,10 +16,12 @@
 func (f *fleetOwner) reportGone(ctx context.Context, loads map[string]*schedule.Load) {
 	f.mu.Lock()
 	view := capacity.View{Now: f.host.now(), Machines: f.machines, ListedAt: f.listedAt}
+	workers := maps.Clone(f.workers)
 	f.mu.Unlock()
 	for pool, load := range loads {
 		for _, id := range view.GoneWorkers(load) {
-			f.host.reportGone(ctx, pool, id, load.Hosts[id].LastSeen)
+			w, known := workers[id]
+			f.host.reportGone(ctx, pool, id, load.Hosts[id].LastSeen, known && !view.MayReturn(w.machine))
 		}
 	}
 }
@@ -43,6 +47,7 @@
 	defer f.mu.Unlock()
 	f.logChanges(machines)
 	f.machines, f.listedAt = machines, now
+	f.noteWorkers()
 	byName := make(map[string]*machine.Machine, len(machines))
 	for n := range machines {
 		byName[machines[n].Name] = &machines[n]
@@ -54,6 +59,25 @@
 	}
 }
 
+// workerMemory is how long after it was last listed it is known on which machine a worker was.
+const workerMemory = time.Minute
+
+// listedWorker is the machine of a worker and when the list last showed that.
+type listedWorker struct {
+	machine  string
+	listedAt time.Time
+}
+
+// noteWorkers notes the machines of the listed workers.
+func (f *fleetOwner) noteWorkers() {
+	for n := range f.machines {
+		if m := &f.machines[n]; m.Worker != "" {
+			f.workers[m.Worker] = listedWorker{m.Name, f.listedAt}
+		}
+	}
+	maps.DeleteFunc(f.workers, func(_ worker.ID, w listedWorker) bool { return f.listedAt.Sub(w.listedAt) > workerMemory })
+}
+
 // logChanges logs the machines whose state or worker has changed since the last list.
 func (f *fleetOwner) logChanges(machines []machine.Machine) {
 	previous := make(map[string]*machine.Machine, len(f.machines))
--- a/internal/jobhost/fleet_owner.go
+++ b/internal/jobhost/fleet_owner.go
@@ -11,6 +11,7 @@
 	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/machine"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
 
 const (
@@ -72,6 +73,8 @@
 	needs    map[string]capacity.Need
 	machines []machine.Machine
 	listedAt time.Time
+	// workers holds the machines of the workers that were listed lately.
+	workers map[worker.ID]listedWorker
 	// loads holds the loads of the pools at the last plan.
 	loads    map[string]*schedule.Load
 	loadedAt time.Time
@@ -107,7 +110,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &fleetOwner{
 		host: h, token: token, began: h.now(), cancel: cancel, planner: capacity.NewPlanner(h.settings.Capacity.Options),
-		ordered: map[string]*machineOrder{}, started: map[int64]map[string]bool{}, waves: map[int64]*waveState{}, needs: map[string]capacity.Need{},
+		ordered: map[string]*machineOrder{}, workers: map[worker.ID]listedWorker{}, started: map[int64]map[string]bool{}, waves: map[int64]*waveState{}, needs: map[string]capacity.Need{},
 		statusChanged: make(chan struct{}, 1), quotas: newQuotaDivision(token),
 	}
 	f.tenure = newTenureRecord(f.tenurePartition(), h, token)
--- a/internal/jobhost/loads.go
+++ b/internal/jobhost/loads.go
@@ -154,21 +154,25 @@
 }
 
 // markGoneOwned marks a worker as ended that was last seen at lastSeen, and returns false if this
-// entry host does not own the pool.
-func (h *JobHost) markGoneOwned(pool string, id worker.ID, lastSeen time.Time) bool {
+// entry host does not own the pool. A worker that was replaced can't come back.
+func (h *JobHost) markGoneOwned(pool string, id worker.ID, lastSeen time.Time, replaced bool) bool {
 	r, ok := h.ownedPool(pool)
 	if !ok || r.pool.Fenced() {
 		return false
 	}
-	r.pool.WorkerEnded(id, lastSeen, h.now())
+	if replaced {
+		r.pool.WorkerReplaced(id, lastSeen, h.now())
+	} else {
+		r.pool.WorkerEnded(id, lastSeen, h.now())
+	}
 	r.signal()
 	return true
 }
 
 // reportGone reports to the owner of a pool that a worker has ended. The report may arrive late, so
 // that it says by which sign of life it was judged.
-func (h *JobHost) reportGone(ctx context.Context, pool string, id worker.ID, lastSeen time.Time) {
-	if h.markGoneOwned(pool, id, lastSeen) {
+func (h *JobHost) reportGone(ctx context.Context, pool string, id worker.ID, lastSeen time.Time, replaced bool) {
+	if h.markGoneOwned(pool, id, lastSeen, replaced) {
 		return
 	}
 	address, ok := h.directory.ownerOf(ctx, pool)
@@ -176,5 +180,5 @@
 		return
 	}
 	// A lost report is repeated with the next list of machines.
-	_, _ = h.peers.Gone(ctx, address, &wire.GoneRequest{Pool: pool, Host: string(id), KnownMs: lastSeen.UnixMilli()})
+	_, _ = h.peers.Gone(ctx, address, &wire.GoneRequest{Pool: pool, Host: string(id), KnownMs: lastSeen.UnixMilli(), Replaced: replaced})
 }
--- a/internal/jobhost/peer_handler.go
+++ b/internal/jobhost/peer_handler.go
@@ -152,7 +152,7 @@
 
 // Gone marks a worker as ended.
 func (h peerHandler) Gone(_ context.Context, request *wire.GoneRequest) (*wire.GoneReply, error) {
-	return &wire.GoneReply{Owner: h.host.markGoneOwned(request.GetPool(), worker.ID(request.GetHost()), time.UnixMilli(request.GetKnownMs()))}, nil
+	return &wire.GoneReply{Owner: h.host.markGoneOwned(request.GetPool(), worker.ID(request.GetHost()), time.UnixMilli(request.GetKnownMs()), request.GetReplaced())}, nil
 }
 
 // Relay adds a record to the log on behalf of another entry host.
