--- a/internal/coordination/capacity/gone_test.go
+++ b/internal/coordination/capacity/gone_test.go
@@ -31,8 +31,11 @@
 // TestWorkerOfARunningMachineMayReturn guards against tasks that wait for a worker that can't come back.
 func TestWorkerOfARunningMachineMayReturn(t *testing.T) {
 	v := View{Machines: []machine.Machine{
-		{Name: "down", State: machine.Down}, {Name: "unknown"}, {Name: "replaced", State: machine.Up, Worker: "w-2"},
-		{Name: "moving", State: machine.Moving}, {Name: "maintained", State: machine.Maintenance},
+		{Name: "down", State: machine.Down},
+		{Name: "unknown"},
+		{Name: "replaced", State: machine.Up, Worker: "w-2"},
+		{Name: "moving", State: machine.Moving},
+		{Name: "maintained", State: machine.Maintenance},
 	}}
 	got := map[string]bool{}
 	for _, name := range []string{"down", "unknown", "replaced", "moving", "maintained", "removed"} {
