schedule: acknowledge ends once

Callers could see: a task is started again after it was done. Every renewal carried the number of the last acknowledged end, also the one that waits at the worker for up to a second and so is nearly always under way when that crashes. The next incarnation may carry it out: its ends are numbered from 1, so that it forgets all of those up to that number, which nobody has read.

TestEndsAreAcknowledgedOnce failed before: every renewal carries the number for ever.

Fix: a renewal carries a number until one with it was answered.

--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -21,7 +21,10 @@
 		p.raiseFence(h)
 		return worker.RenewalOrder{Token: p.tokenFor(h)}, true
 	}
-	order := worker.RenewalOrder{Token: p.useToken(h), Acknowledged: h.acknowledged, LeaseEnd: h.nextLease(now, p.limits.Lease)}
+	order := worker.RenewalOrder{Token: p.useToken(h), LeaseEnd: h.nextLease(now, p.limits.Lease)}
+	if h.acknowledged > h.forgotten {
+		order.Acknowledged = h.acknowledged
+	}
 	if h.acknowledged == h.received {
 		order.MaxWait = p.limits.RenewalWait
 		if p.neighbours != nil && h.serves() {
@@ -87,6 +90,8 @@
 			return
 		}
 		p.newIncarnation(h, reply.Incarnation, p.seals(h, order.Token), sent, now)
+	} else {
+		h.forgotten = max(h.forgotten, order.Acknowledged)
 	}
 	p.seal(h, order.Token, now)
 	if !h.confirmed && h.fence.sealed {
--- a/internal/coordination/schedule/host.go
+++ b/internal/coordination/schedule/host.go
@@ -43,9 +43,11 @@
 	// expiry is when all runs on the host have ended if the worker stays unresponsive.
 	expiry time.Time
 	// received is the number of the last ended run that was applied; acknowledged that of
-	// the last one recorded in the log, which the worker may forget.
+	// the last one recorded in the log, which the worker may forget; forgotten that of the last
+	// one that it is known to have forgotten.
 	received     int64
 	acknowledged int64
+	forgotten    int64
 	runs         map[runKey]*run
 	// unknownRuns are listed runs of jobs that this owner does not know, with the time when
 	// each was first listed or last ordered to stop.
--- a/internal/coordination/schedule/incarnation.go
+++ b/internal/coordination/schedule/incarnation.go
@@ -35,7 +35,7 @@
 	}
 	h.incarnation, h.incarnationAt = incarnation, now
 	h.clock, h.clockAt, h.leaseSent = 0, now, 0
-	h.received, h.acknowledged = 0, 0
+	h.received, h.acknowledged, h.forgotten = 0, 0, 0
 	h.health = health{}
 	clear(h.unknownRuns)
 	for _, r := range h.runs {
--- a/internal/coordination/schedule/incarnation_test.go
+++ b/internal/coordination/schedule/incarnation_test.go
@@ -244,6 +244,21 @@
 	}
 }
 
+// TestEndsAreAcknowledgedOnce guards against ends that are forgotten unread: a renewal that waits at the worker
+// while that crashes may be carried out by the next incarnation, whose ends are numbered anew.
+func TestEndsAreAcknowledgedOnce(t *testing.T) {
+	h, _ := withAcknowledgedEnd(t)
+	reply := worker.RenewalReply{Clock: h.clock(), Incarnation: 1}
+	lost, answered := h.renewal("h1"), h.renewal("h1")
+	if lost.Acknowledged != 1 || answered.Acknowledged != 1 {
+		t.Errorf("ends up to %d and %d are acknowledged before any answer; want 1", lost.Acknowledged, answered.Acknowledged)
+	}
+	h.pool.ApplyRenewal("h1", answered, h.now, h.now, reply)
+	if next := h.renewal("h1"); next.Acknowledged != 0 || next.MaxWait == 0 {
+		t.Errorf("order %+v after an answer; want one that waits and acknowledges nothing", next)
+	}
+}
+
 // TestRunThatTheNextIncarnationAcceptedIsNotTakenForLost guards against a task that is started a
 // second time: the answer to the start overtook the incarnation's first list.
 func TestRunThatTheNextIncarnationAcceptedIsNotTakenForLost(t *testing.T) {
