schedule: see the restart of a young worker by its clock

Callers could see: a task runs twice. The answer to a start showed a restart only if the worker's clock was below its last reading.

Fix: the clock has to have advanced by the time since the last reading, less the drift that is allowed. A restart takes minRestartTime, which is far more than that.

TestRestartOfAYoungWorkerIsSeenByItsClock failed before.

--- a/internal/coordination/schedule/incarnation.go
+++ b/internal/coordination/schedule/incarnation.go
@@ -7,9 +7,14 @@
 )
 
 // clockWentBack reports whether the answer to an order that was sent at sent has a clock reading
-// from before the order, so that it must be another incarnation's.
+// from before the order, so that it must be another incarnation's: one that was started meanwhile, and
+// was away for at least minRestartTime.
 func (h *host) clockWentBack(sent time.Time, clock time.Duration) bool {
-	return clock > 0 && clock < h.clock && !sent.Before(h.clockAt)
+	if clock <= 0 || sent.Before(h.clockAt) {
+		return false
+	}
+	elapsed := time.Duration(float64(sent.Sub(h.clockAt)) * (1 - maxClockDrift))
+	return clock < h.clock+elapsed-clockSlack
 }
 
 // restartSeen records that a host's worker has restarted, though no list of its next incarnation has
--- a/internal/coordination/schedule/incarnation_test.go
+++ b/internal/coordination/schedule/incarnation_test.go
@@ -259,6 +259,25 @@
 	}
 }
 
+// TestRestartOfAYoungWorkerIsSeenByItsClock guards against a lease that is reckoned by the clock of a former
+// incarnation, which was no older than the present one is.
+func TestRestartOfAYoungWorkerIsSeenByItsClock(t *testing.T) {
+	for clock, want := range map[time.Duration]bool{
+		300 * time.Millisecond: true, 890 * time.Millisecond: false, 910 * time.Millisecond: false,
+	} {
+		h := newHarness(t)
+		h.list("h1")
+		h.pool.ApplyRenewal("h1", h.renewal("h1"), h.now, h.now, worker.RenewalReply{Clock: 10 * time.Millisecond, Incarnation: 1})
+		h.add(idA, testStep(1, 1000))
+		h.advance(900 * time.Millisecond)
+		starts, _ := h.plan()
+		h.pool.Started("h1", starts[0].Order, h.now, worker.StartReply{Clock: clock}, false, nil)
+		if seen := !h.pool.hosts["h1"].confirmed; seen != want {
+			t.Errorf("clock %s after 10 ms and 0.9 s: restart seen %v; want %v", clock, seen, want)
+		}
+	}
+}
+
 // TestRunThatTheNextIncarnationAcceptedIsNotTakenForLost guards against a task that is started a
 // second time: the answer to the start overtook the incarnation's first list.
 func TestRunThatTheNextIncarnationAcceptedIsNotTakenForLost(t *testing.T) {
--- a/internal/coordination/schedule/limits.go
+++ b/internal/coordination/schedule/limits.go
@@ -51,6 +51,8 @@
 	// maxClockDrift is the share by which a host's clock may run slower than the local
 	// one, from the workers' contract.
 	maxClockDrift = 0.02
+	// clockSlack covers the rounding of clocks where two readings are compared.
+	clockSlack = 20 * time.Millisecond
 	// leaseSlack covers the rounding of clocks and timers at the expiry of a lease.
 	leaseSlack = 150 * time.Millisecond
 	// unhealthyPause is how long nothing is started on a host that refused a start as
