schedule: wait out a start without an answer

Callers could see: a task runs twice, or again after it was done. Its start got no answer, the worker refused it from then on, and the task was started again; the worker crashed, and its next incarnation, which knows no fence, carried out the first start before it was sealed.

Cause: no order binds an incarnation that has not begun. The fence outlaws an order for those that have answered, the time that orders may be late for all.

Fix: a task that must run once waits for lateOrderTime after such a start before its next one, unless the start was listed or answered, or its worker was replaced. Speculative steps, whose tasks may run twice, don't wait. Nor do long-running tasks: they have to be back within seconds, and are never done.

What it costs callers: such a task waits 15 s instead of about 0.5 s.

--- a/internal/coordination/schedule/crash_test.go
+++ b/internal/coordination/schedule/crash_test.go
@@ -58,13 +58,15 @@
 // TestUnansweredStartIsBlamed: a host may have crashed before it began the task.
 func TestUnansweredStartIsBlamed(t *testing.T) {
 	for name, settle := range map[string]func(*harness, worker.ID){
-		"the worker is back": func(h *harness, id worker.ID) { h.renew(id, 2) },
+		"the worker is back": func(h *harness, id worker.ID) {
+			h.renew(id, 2)
+			h.advance(lateOrderTime)
+			h.renewFirstLives("h1", "h2", "h3")
+		},
 		"the worker is gone": func(h *harness, id worker.ID) {
 			h.advance(lateOrderTime + time.Millisecond)
 			h.pool.WorkerEnded(id, h.lastSeen(id), h.now)
-			h.renew("h1", 1)
-			h.renew("h2", 1)
-			h.renew("h3", 1)
+			h.renewFirstLives("h1", "h2", "h3")
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -85,6 +87,15 @@
 	}
 }
 
+// renewFirstLives delivers the replies of the hosts whose workers have not crashed.
+func (h *harness) renewFirstLives(ids ...worker.ID) {
+	for _, id := range ids {
+		if h.pool.hosts[id].incarnation == 1 {
+			h.renew(id, 1)
+		}
+	}
+}
+
 // TestCrashIsBlamedOnce guards against a job that is given up for one crash: the run whose start got no
 // answer outlasts the others of its host, and is alone when the crash is seen again.
 func TestCrashIsBlamedOnce(t *testing.T) {
--- a/internal/coordination/schedule/host_reports.go
+++ b/internal/coordination/schedule/host_reports.go
@@ -78,9 +78,12 @@
 	if !ok || h.confirmed || !h.lastSeen().Equal(lastSeen) {
 		return
 	}
+	if replaced {
+		clear(h.unanswered)
+	}
 	ended := h.runsWhere(func(r *run) bool {
 		until, mayBegin := r.mayBeginLate()
-		return !r.unsent && (!mayBegin || replaced || now.After(until))
+		return !r.unsent && (!mayBegin || now.After(until))
 	})
 	if len(ended)+len(h.lapsed) == 0 {
 		return
--- a/internal/coordination/schedule/incarnation_test.go
+++ b/internal/coordination/schedule/incarnation_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
 
@@ -104,11 +105,46 @@
 			next.Clock += time.Second
 			h.pool.ApplyRenewal("h1", raised, h.now, h.now, next)
 			again, _ = h.plan()
+			// The one after that may still begin it.
+			h.wantStarts(again)
+			h.advance(lateOrderTime - h.pool.limits.maxGrantedDuration())
+			h.renew("h2", 1)
+			again, _ = h.plan()
 			h.wantStarts(again, idA+".0.0.0")
 		})
 	}
 }
 
+// TestStartThatMayBeLateElsewhere guards against a task that runs twice on copies or keeps its callers waiting:
+// which starts without an answer another run waits for.
+func TestStartThatMayBeLateElsewhere(t *testing.T) {
+	for name, test := range map[string]struct {
+		change func(*job.Step)
+		waits  bool
+	}{
+		"once":         {func(*job.Step) {}, true},
+		"speculative":  {func(s *job.Step) { s.Speculative = true }, false},
+		"long-running": {func(s *job.Step) { s.LongRunning = true }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, "h1")
+			s := testStep(1, 1000)
+			test.change(&s)
+			h.add(idA, s)
+			starts, _ := h.plan()
+			h.noAnswer(starts...)
+			h.advance(time.Millisecond)
+			h.renew("h1", 1)
+			h.pool.ApplyRenewal("h1", h.renewal("h1"), h.now, h.now, worker.RenewalReply{Clock: h.clock(), Incarnation: 1})
+			h.advance(time.Second)
+			again, _ := h.plan()
+			if waits := len(again) == 0; waits != test.waits {
+				t.Errorf("the next run waits: %v; want %v", waits, test.waits)
+			}
+		})
+	}
+}
+
 // TestStartOnAWorkerThatIsGoneWaitsTooLong guards against a task that waits for orders which nobody can carry
 // out any more: its worker was replaced, or has been gone for as long as an order can be late.
 func TestStartOnAWorkerThatIsGoneWaitsTooLong(t *testing.T) {
--- a/internal/coordination/schedule/late_orders_test.go
+++ b/internal/coordination/schedule/late_orders_test.go
@@ -55,6 +55,9 @@
 			h.renewFrom("h1", first)
 			h.add(idA, testStep(1, 1000))
 			starts, _ := h.plan()
+			h.startOn(first, starts...)
+			h.add(idB, testStep(1, 1000))
+			starts, _ = h.plan()
 			dark := starts[0].Order
 			h.noAnswer(starts...)
 			h.pool.RenewalFailed("h1", h.now, h.now, errNoAnswer)
@@ -62,18 +65,10 @@
 			h.advance(time.Second)
 			h.renewFrom("h1", next)
 			h.renewFrom("h1", next)
-			stopped, orders := h.plan()
-			for _, s := range orders.Stops {
-				stop, _ := h.pool.BeginStop("h1", s.Order, h.now)
-				next.carryOut(stop.Token, 0, h.now)
-				h.pool.Stopped("h1", stop, h.now, h.now, nil)
-			}
-			h.advance(time.Millisecond)
-			h.renewFrom("h1", next)
 			starts, _ = h.plan()
-			starts = append(stopped, starts...)
 			h.wantStarts(starts, idA+".0.0.0")
 			h.startOn(next, starts...)
+			h.pool.CancelJob(idB, h.now)
 			for range int(late / (100 * time.Millisecond)) {
 				h.advance(100 * time.Millisecond)
 				h.renewFrom("h1", next)
--- a/internal/coordination/schedule/outcome.go
+++ b/internal/coordination/schedule/outcome.go
@@ -155,6 +155,9 @@
 	}
 	r.host.remove(r)
 	t := r.task
+	if until, mayBegin := r.mayBeginLate(); mayBegin && !r.unsent && !t.step.def.LongRunning {
+		t.lateStartUntil = later(t.lateStartUntil, until)
+	}
 	t.step.job.detach(r)
 	p.organisations.released(r)
 	if f := t.step.job.share; f != nil {
--- a/internal/coordination/schedule/task.go
+++ b/internal/coordination/schedule/task.go
@@ -73,6 +73,9 @@
 	checkpoint string
 	// notBefore delays the next start after a failed run or a refused start.
 	notBefore time.Time
+	// lateStartUntil is until when a start of the task that got no answer may be carried out by the next
+	// incarnation of its worker.
+	lateStartUntil time.Time
 	// hangs counts the runs that were stopped because they hung; hungOn is the last one, or nil.
 	hangs  int
 	hungOn *hang
@@ -191,7 +194,7 @@
 
 // startable reports whether the task needs a run and may be started now.
 func (t *task) startable(now time.Time) bool {
-	if t.done() || now.Before(t.notBefore) || t.heldBack() {
+	if t.done() || now.Before(t.notBefore) || now.Before(t.lateStartUntil) || t.heldBack() {
 		return false
 	}
 	return len(t.runs) == 0 || t.stranded(now)
