emulator: late orders reach whichever life has the worker's ID

Callers saw tasks that ran twice after workers had crashed and come back under their IDs, which no test of the emulator showed.

Cause: the emulator kept more from late orders than the platform does. A late renewal reached only the life that it was sent to, a late start reached the next life only once that had been known for 5 s, throttles were never late, and orders to a crashed worker were refused.

Now an order without an answer is carried out up to 14.9 s after it was sent (owners reckon with 15 s; 2 to 12 s before), by the life that has the ID then, a quarter of them at once. Half of the orders sent into a cut are carried out after it. A worker can go dark: orders get no answer while it is away, its report stays until it has missed three, and half of the orders, pending renewals included, are carried out by its next life. A cut after its return does not hold them back, since they are past the network.

A start of a run that is already there takes the fencing token and the lease like one that is refused as old or for want of room; it took neither. Throttles check the fencing token and change the listed speed, not the speed of the work.

--- a/internal/emulator/site/faults.go
+++ b/internal/emulator/site/faults.go
@@ -51,7 +51,11 @@
 	if m == nil {
 		return
 	}
-	w := m.worker
+	s.isolate(m.worker, duration)
+}
+
+// isolate isolates a worker. The caller holds the site's lock.
+func (s *Site) isolate(w *Worker, duration time.Duration) {
 	w.isolated = true
 	time.AfterFunc(duration, func() {
 		s.mu.Lock()
--- a/internal/emulator/site/machines.go
+++ b/internal/emulator/site/machines.go
@@ -164,6 +164,26 @@
 		old.kill()
 		s.withdrawReport(old.id)
 	}
+	s.bringUpAfter(m, downtime)
+}
+
+// goDark crashes a machine's worker without a word and starts it again under its ID after the
+// downtime. Its report is removed once it has missed too many. The caller holds the site's lock.
+func (s *Site) goDark(m *simMachine, downtime time.Duration) {
+	old := m.worker
+	m.worker, m.state, m.keepID = nil, machine.Down, true
+	old.goDark()
+	time.AfterFunc(maxMissed*reportInterval, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.workers[old.id] == old {
+			s.withdrawReport(old.id)
+		}
+	})
+	s.bringUpAfter(m, downtime)
+}
+
+func (s *Site) bringUpAfter(m *simMachine, downtime time.Duration) {
 	time.AfterFunc(downtime, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -162,12 +162,19 @@
 	return s.workers[id]
 }
 
-// connected reports whether an entry host can reach a worker.
-func (s *Site) connected(h *EntryHost, w *Worker) bool {
+// isRunning reports whether an entry host has not been killed.
+func (s *Site) isRunning(h *EntryHost) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_, running := s.hosts[h.Name]
-	return running && !w.isolated && (h.DataCentre == w.dataCentre || (!s.isolated[h.DataCentre] && !s.isolated[w.dataCentre]))
+	return running
+}
+
+// separated reports whether an entry host and a worker can't reach each other.
+func (s *Site) separated(h *EntryHost, w *Worker) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return w.isolated || (h.DataCentre != w.dataCentre && (s.isolated[h.DataCentre] || s.isolated[w.dataCentre]))
 }
 
 // peersConnected reports whether an entry host can reach the peer at an address.
--- a/internal/emulator/site/worker.go
+++ b/internal/emulator/site/worker.go
@@ -34,12 +34,12 @@
 	// capacityReportedAt is when the present capacity was first reported, zero before.
 	capacityReportedAt time.Time
 
-	startedAt time.Time
-	// contactedAt is when an owner first renewed the lease.
-	contactedAt time.Time
+	startedAt   time.Time
 	incarnation worker.Incarnation
 	dead        bool
-	draining    bool
+	// dark means that the worker has crashed without a word and will be back under its ID.
+	dark     bool
+	draining bool
 	// isolated means that the worker has no network connection in either direction; it
 	// keeps running.
 	isolated  bool
@@ -85,7 +85,9 @@
 	working     bool
 	workedSince time.Time
 	gang        bool
-	timer       *time.Timer
+	// percent is the speed that a throttle order has set.
+	percent int
+	timer   *time.Timer
 }
 
 func newWorker(s *Site, id worker.ID, m *simMachine, clockRate float64) *Worker {
@@ -104,16 +106,6 @@
 	return time.Second + time.Duration(w.clockRate*float64(time.Since(w.startedAt)))
 }
 
-// contactedFor returns how long ago an owner first renewed the worker's lease, 0 before.
-func (w *Worker) contactedFor() time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.contactedAt.IsZero() {
-		return 0
-	}
-	return time.Since(w.contactedAt)
-}
-
 // report returns the report that the worker publishes in the log.
 func (w *Worker) report() worker.Report {
 	w.mu.Lock()
@@ -143,6 +135,8 @@
 	case o.Token < w.token:
 		return reply(worker.RefusedFenced)
 	case w.runs[key] != nil:
+		w.token = o.Token
+		w.extend(o.LeaseEnd)
 		return reply(worker.Accepted)
 	case o.LeaseEnd <= w.clock():
 		return reply(worker.RefusedLeaseExpired)
@@ -159,6 +153,7 @@
 	}
 	r := &taskRun{
 		key: key, needs: actual.step.Reserved(), began: time.Now(), checkpoint: o.Checkpoint, saves: actual.step.SavesProgress, gang: actual.step.Gang,
+		percent: 100,
 	}
 	if w.checksCapacity && !r.needs.Fits(w.free()) {
 		return reply(worker.RefusedCapacity)
@@ -258,7 +253,7 @@
 func (w *Worker) stop(o worker.StopOrder) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if o.Token < w.token {
+	if w.dead || o.Token < w.token {
 		return false
 	}
 	w.token = o.Token
@@ -291,9 +286,6 @@
 	if o.Token < w.token {
 		return worker.RenewalReply{Fenced: true, Clock: w.clock(), Incarnation: w.incarnation}, nil
 	}
-	if w.contactedAt.IsZero() {
-		w.contactedAt = time.Now()
-	}
 	w.token = o.Token
 	w.recordExpiry()
 	w.endedRuns = slices.DeleteFunc(w.endedRuns, func(e worker.EndedRun) bool {
@@ -308,7 +300,7 @@
 	}
 	reply := worker.RenewalReply{Clock: w.clock(), Incarnation: w.incarnation, Ended: slices.Clone(w.endedRuns)}
 	for key, r := range w.runs {
-		reply.Running = append(reply.Running, worker.ActiveRun{Task: key.task, Run: key.run, Checkpoint: r.lastCheckpoint(false), Percent: 100, Usage: 1})
+		reply.Running = append(reply.Running, worker.ActiveRun{Task: key.task, Run: key.run, Checkpoint: r.lastCheckpoint(false), Percent: r.percent, Usage: 1})
 	}
 	return reply, nil
 }
@@ -340,3 +332,33 @@
 	defer w.mu.Unlock()
 	return !w.dead
 }
+
+// goDark ends the worker as a crash without a word does.
+func (w *Worker) goDark() {
+	w.mu.Lock()
+	w.dark = true
+	w.mu.Unlock()
+	w.kill()
+}
+
+// isDark reports whether orders to the worker wait for its next incarnation.
+func (w *Worker) isDark() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.dark
+}
+
+// throttle carries out a throttle order, which changes the listed speed only; it reports false if
+// the order's fencing token is out of date.
+func (w *Worker) throttle(o worker.ThrottleOrder) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.dead || o.Token < w.token {
+		return false
+	}
+	w.token = o.Token
+	if r := w.runs[runKey{o.Task, o.Run}]; r != nil {
+		r.percent = o.Percent
+	}
+	return true
+}
--- a/internal/emulator/site/worker_access.go
+++ b/internal/emulator/site/worker_access.go
@@ -10,16 +10,8 @@
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
 
-const (
-	// linkLatency is the one-way latency between an entry host and a worker.
-	linkLatency = 500 * time.Microsecond
-	// minLateDelay and maxLateDelay bound the delay with which an order that gets no
-	// answer is carried out.
-	minLateDelay, maxLateDelay = 2 * time.Second, 12 * time.Second
-	// reachTime is the time within which an owner has stopped what it must on a worker that it
-	// knows, beside lost orders.
-	reachTime = 5 * time.Second
-)
+// linkLatency is the one-way latency between an entry host and a worker.
+const linkLatency = 500 * time.Microsecond
 
 // workerAccess is an entry host's client of the workers.
 type workerAccess struct {
@@ -27,82 +19,104 @@
 	host *EntryHost
 }
 
-// reach waits for the latency and returns the worker that an order is addressed to.
-func (a *workerAccess) reach(ctx context.Context, target worker.Target) (*Worker, error) {
+// reach waits for the latency and returns the worker that an order is addressed to. An order that
+// gets no answer may be carried out late.
+func (a *workerAccess) reach(ctx context.Context, o lateOrder) (*Worker, error) {
+	o.from, o.sent, o.arrived = a.host, time.Now(), false
 	if err := pause.For(ctx, linkLatency); err != nil {
 		return nil, verdict.MayHaveRunError(verdict.CauseUpstreamSilent, "the worker was not reached in time")
 	}
-	w := a.site.worker(target.ID)
+	w := a.site.worker(o.id)
 	switch {
-	case w == nil || !w.alive():
+	case w == nil || (!w.alive() && !w.isDark()):
 		return nil, verdict.NotRunError(verdict.CauseUpstreamDial, "no worker listens at the address")
-	case !a.site.connected(a.host, w):
+	case !a.site.isRunning(a.host):
+		<-ctx.Done()
+		return nil, verdict.MayHaveRunError(verdict.CauseUpstreamSilent, "the entry host has crashed")
+	case w.isDark():
+		o.arrived = true
+		a.site.hold(o)
+		<-ctx.Done()
+		return nil, verdict.MayHaveRunError(verdict.CauseUpstreamSilent, "the worker does not answer")
+	case a.site.separated(a.host, w):
+		a.site.hold(o)
 		<-ctx.Done()
 		return nil, verdict.MayHaveRunError(verdict.CauseUpstreamSilent, "the worker does not answer")
+	case a.site.chance(a.site.lostOrderShare(w.machine)):
+		o.arrived = true
+		a.site.deliverLate(o)
+		<-ctx.Done()
+		return nil, verdict.MayHaveRunError(verdict.CauseUpstreamSilent, "the worker's answer is lost")
 	}
 	return w, nil
 }
 
-// losesAnswer decides at random whether an order gets no answer, and reports that. It
-// then schedules the order's late delivery and blocks until ctx ends. A late stop reaches the
-// incarnation that then has the worker's ID, a late start as well once an owner has known that for
-// reachTime: sooner, nobody can prevent it.
-func (a *workerAccess) losesAnswer(ctx context.Context, w *Worker, deliver func()) bool {
-	if !a.site.chance(a.site.lostOrderShare(w.machine)) {
-		return false
-	}
-	late := minLateDelay + time.Duration(a.site.random()*float64(maxLateDelay-minLateDelay))
-	time.AfterFunc(late, deliver)
-	<-ctx.Done()
-	return true
-}
-
 func (a *workerAccess) Start(ctx context.Context, target worker.Target, o worker.StartOrder) (worker.StartReply, error) {
-	w, err := a.reach(ctx, target)
+	w, err := a.reach(ctx, lateOrder{
+		name: "start", details: []any{"task", o.Task, "run", o.Run, "fence", int64(o.Token), "lease-end", o.LeaseEnd}, id: target.ID,
+		carryOut: func(w *Worker) string { return refusalNames[w.start(o, a.host.Name, true).Refusal] },
+	})
 	if err != nil {
 		return worker.StartReply{}, err
 	}
-	if a.losesAnswer(ctx, w, func() {
-		if last := a.site.worker(target.ID); last.alive() && (last == w || last.contactedFor() > reachTime) {
-			last.start(o, a.host.Name, true)
-		}
-	}) {
-		return worker.StartReply{}, verdict.MayHaveRunError(verdict.CauseUpstreamSilent, "the worker's answer is lost")
-	}
 	return w.start(o, a.host.Name, false), nil
 }
 
+// refusalNames name the results of late starts in the log.
+var refusalNames = map[worker.Refusal]string{
+	worker.Accepted: "accepted", worker.RefusedFenced: "fenced", worker.RefusedStale: "stale",
+	worker.RefusedLeaseExpired: "lease-expired", worker.RefusedCapacity: "capacity", worker.RefusedInvalid: "invalid",
+}
+
+// resultOf names the result of another late order in the log.
+func resultOf(accepted bool) string {
+	if accepted {
+		return "accepted"
+	}
+	return "fenced"
+}
+
 func (a *workerAccess) Stop(ctx context.Context, target worker.Target, o worker.StopOrder) error {
-	w, err := a.reach(ctx, target)
+	w, err := a.reach(ctx, lateOrder{
+		name: "stop", details: []any{"task", o.Task, "run", o.Run, "fence", int64(o.Token)}, id: target.ID,
+		carryOut: func(w *Worker) string { return resultOf(w.stop(o)) },
+	})
 	if err != nil {
 		return err
 	}
-	if a.losesAnswer(ctx, w, func() { a.site.worker(target.ID).stop(o) }) {
-		return verdict.MayHaveRunError(verdict.CauseUpstreamSilent, "the worker's answer is lost")
-	}
 	if !w.stop(o) {
 		return verdict.NotRunError(verdict.CauseUpstreamBusy, "the worker has seen a higher fencing token")
 	}
 	return nil
 }
 
-func (a *workerAccess) Throttle(ctx context.Context, target worker.Target, _ worker.ThrottleOrder) error {
-	_, err := a.reach(ctx, target)
-	return err
+func (a *workerAccess) Throttle(ctx context.Context, target worker.Target, o worker.ThrottleOrder) error {
+	w, err := a.reach(ctx, lateOrder{
+		name: "throttle", details: []any{"task", o.Task, "run", o.Run, "percent", o.Percent, "fence", int64(o.Token)}, id: target.ID,
+		carryOut: func(w *Worker) string { return resultOf(w.throttle(o)) },
+	})
+	if err != nil {
+		return err
+	}
+	if !w.throttle(o) {
+		return verdict.NotRunError(verdict.CauseUpstreamBusy, "the worker has seen a higher fencing token")
+	}
+	return nil
 }
 
 func (a *workerAccess) RenewLease(ctx context.Context, target worker.Target, o worker.RenewalOrder) (worker.RenewalReply, error) {
-	w, err := a.reach(ctx, target)
+	late := lateOrder{
+		name: "renewal", details: []any{"fence", int64(o.Token), "lease-end", o.LeaseEnd, "acknowledged", o.Acknowledged}, id: target.ID,
+		from: a.host, sent: time.Now(), arrived: true,
+		carryOut: func(w *Worker) string {
+			reply, _ := w.renewLease(o, true)
+			return resultOf(!reply.Fenced)
+		},
+	}
+	w, err := a.reach(ctx, late)
 	if err != nil {
 		return worker.RenewalReply{}, err
 	}
-	if a.losesAnswer(ctx, w, func() {
-		if w.alive() {
-			w.renewLease(o, true)
-		}
-	}) {
-		return worker.RenewalReply{}, verdict.MayHaveRunError(verdict.CauseUpstreamSilent, "the worker's answer is lost")
-	}
 	reply, changed := w.renewLease(o, false)
 	if changed == nil {
 		return reply, nil
@@ -113,10 +127,14 @@
 	case <-ctx.Done():
 		return worker.RenewalReply{}, verdict.MayHaveRunError(verdict.CauseUpstreamSilent, "the lease renewal was cancelled")
 	}
-	if !w.alive() {
+	switch {
+	case w.isDark():
+		a.site.hold(late)
+		<-ctx.Done()
+		return worker.RenewalReply{}, verdict.MayHaveRunError(verdict.CauseUpstreamSilent, "the worker does not answer")
+	case !w.alive():
 		return worker.RenewalReply{}, verdict.MayHaveRunError(verdict.CauseUpstreamBroken, "the worker has ended")
-	}
-	if !a.site.connected(a.host, w) {
+	case !a.site.isRunning(a.host) || a.site.separated(a.host, w):
 		<-ctx.Done()
 		return worker.RenewalReply{}, verdict.MayHaveRunError(verdict.CauseUpstreamSilent, "the worker does not answer")
 	}
