--- a/internal/coordination/schedule/task.go
+++ b/internal/coordination/schedule/task.go
@@ -73,8 +73,8 @@
 	checkpoint string
 	// notBefore delays the next start after a failed run or a refused start.
 	notBefore time.Time
-	// lateStartUntil is until when a start of the task that got no answer may be carried out by the next
-	// incarnation of its worker.
+	// lateStartUntil is until when a start of the task that got no answer may be carried out, if its worker,
+	// which has crashed since, does so again.
 	lateStartUntil time.Time
 	// hangs counts the runs that were stopped because they hung; hungOn is the last one, or nil.
 	hangs  int
