schedule: let no long-running task wait for a late start

Callers could see: a long-running task is down for 15 to 25 s, where seconds are asked for.

The exemption now stands where it is decided whether a start may be late, for every use of that. TestStartOnAWorkerThatIsGoneWaitsTooLong failed before for a long-running task: not started again in the next plan.

--- a/internal/coordination/schedule/fence.go
+++ b/internal/coordination/schedule/fence.go
@@ -86,9 +86,10 @@
 }
 
 // mayBeginLate returns until when the start of a run may be carried out by an incarnation of the host's
-// worker that the owner does not know, so that the task must not run elsewhere. Copies may.
+// worker that the owner does not know, so that the task must not run elsewhere. Tasks of speculative steps
+// may; long-running ones have to be back within seconds.
 func (r *run) mayBeginLate() (until time.Time, mayBegin bool) {
-	if r.task.step.def.Speculative {
+	if def := r.task.step.def; def.Speculative || def.LongRunning {
 		return time.Time{}, false
 	}
 	until, mayBegin = r.host.unanswered[r.key()]
--- a/internal/coordination/schedule/incarnation_test.go
+++ b/internal/coordination/schedule/incarnation_test.go
@@ -148,10 +148,12 @@
 }
 
 // TestStartOnAWorkerThatIsGoneWaitsTooLong guards against a task that waits for orders which nobody can carry
-// out any more: its worker was replaced, or has been gone for as long as an order can be late.
+// out any more, its worker was replaced or has been gone for as long as an order can be late, or that has to be
+// back within seconds.
 func TestStartOnAWorkerThatIsGoneWaitsTooLong(t *testing.T) {
 	for name, ended := range map[string]func(*harness){
-		"replaced": func(h *harness) { h.pool.WorkerReplaced("h1", h.lastSeen("h1"), h.now) },
+		"replaced":           func(h *harness) { h.pool.WorkerReplaced("h1", h.lastSeen("h1"), h.now) },
+		"gone, long-running": func(h *harness) { h.pool.WorkerEnded("h1", h.lastSeen("h1"), h.now) },
 		"gone for long": func(h *harness) {
 			h.pool.WorkerEnded("h1", h.lastSeen("h1"), h.now)
 			h.advance(lateOrderTime + time.Millisecond)
@@ -161,7 +163,9 @@
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, "h1", "h2")
 			h.pool.Restrict([]worker.ID{"h2"}, UseNone, h.now)
-			h.add(idA, testStep(1, 1000))
+			step := testStep(1, 1000)
+			step.LongRunning = name == "gone, long-running"
+			h.add(idA, step)
 			starts, _ := h.plan()
 			h.pool.Restrict([]worker.ID{"h2"}, UseAll, h.now)
 			h.noAnswer(starts...)
--- a/internal/coordination/schedule/outcome.go
+++ b/internal/coordination/schedule/outcome.go
@@ -155,7 +155,7 @@
 	}
 	r.host.remove(r)
 	t := r.task
-	if until, mayBegin := r.mayBeginLate(); mayBegin && !t.step.def.LongRunning && r.sentAt.Before(r.host.incarnationAt) {
+	if until, mayBegin := r.mayBeginLate(); mayBegin && r.sentAt.Before(r.host.incarnationAt) {
 		t.lateStartUntil = later(t.lateStartUntil, until)
 	}
 	t.step.job.detach(r)
