schedule: never use an epoch twice in a process

Callers could see: a pool's tasks are not started until the group of owners changes. A pool that is scheduled anew under the token that it had, as after Keeper.Reacquire without a change of the generation, began its epochs anew, below those that its workers had seen. They refused its orders, it took itself for fenced, and was scheduled anew.

Pools of a process now share one count of epochs, which has 28 bits. A member that is started anew is another one to the group, so that its tokens are higher.

--- a/internal/coordination/schedule/fence.go
+++ b/internal/coordination/schedule/fence.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
@@ -8,31 +9,40 @@
 
 // epochBits is the number of low bits of the fencing token in the orders to a host, which hold the
 // host's epoch; the higher bits hold the token of the tenure.
-const epochBits = 24
+const epochBits = 28
 
-// fence is what keeps orders to one incarnation of a host's worker from its next one. Each order has the
-// epoch in its fencing token, and an incarnation that has answered one of a raised epoch refuses all orders
-// from before.
+// Epochs counts the epochs of a process, so that none is used twice, also if a pool is scheduled anew
+// under the same token.
+type Epochs struct{ last atomic.Int64 }
+
+// next returns the next epoch, and false if there is none left.
+func (e *Epochs) next() (int64, bool) {
+	epoch := e.last.Add(1)
+	return epoch, epoch < 1<<epochBits
+}
+
+// fence keeps orders to one incarnation of a host's worker from its next one. Each order has the host's
+// epoch in its fencing token. An incarnation that has answered an order of an epoch refuses those of
+// earlier epochs. It is sealed if nothing that matters was ordered in its epoch before: then it can carry
+// out no order that was meant for an earlier incarnation.
 type fence struct {
-	// epoch rises within a tenure and is never that of another host. used is set once an order that
-	// changes something was sent in it.
-	epoch int64
-	used  bool
-	// sealed is set while the present incarnation is known to refuse the orders to earlier ones.
+	// epoch is never that of another host. used is set once something that matters was ordered in it.
+	epoch  int64
+	used   bool
 	sealed bool
 	// lateUntil is until when an order with a lease that was sent in this tenure may be carried out.
 	lateUntil time.Time
 }
 
-// nextEpoch returns an epoch above those of all orders so far. When there is none left, the pool needs
-// a new tenure.
+// nextEpoch returns an epoch above those of all orders so far. Without one nothing can be ordered
+// any more.
 func (p *Pool) nextEpoch() int64 {
-	if p.epoch == 1<<epochBits-1 {
+	epoch, ok := p.epochs.next()
+	if !ok {
 		p.fenced = true
-		return p.epoch
+		return 1<<epochBits - 1
 	}
-	p.epoch++
-	return p.epoch
+	return epoch
 }
 
 // raiseFence begins the next epoch of a host, unless nothing was ordered in the present one.
@@ -53,17 +63,17 @@
 	return p.tokenFor(h)
 }
 
-// seals reports whether an incarnation that has answered an order with token refuses all that was ordered
-// before: nothing else was ordered with that token.
-func (p *Pool) seals(h *host, token worker.FencingToken) bool {
+// wouldSeal reports whether an answer to an order with token seals the incarnation that gives it.
+func (p *Pool) wouldSeal(h *host, token worker.FencingToken) bool {
 	return !h.fence.used && token == p.tokenFor(h)
 }
 
-// seal applies an answer of the present incarnation to an order with token.
+// seal applies an answer of the present incarnation to an order with token. If that does not seal it,
+// the next renewal does.
 func (p *Pool) seal(h *host, token worker.FencingToken, now time.Time) {
 	switch f := &h.fence; {
 	case f.sealed:
-	case !p.seals(h, token):
+	case !p.wouldSeal(h, token):
 		p.raiseFence(h)
 	default:
 		f.sealed = true
--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -89,7 +89,7 @@
 			// The answer is from an earlier incarnation. If it is from a later one, so is the next.
 			return
 		}
-		p.newIncarnation(h, reply.Incarnation, p.seals(h, order.Token), sent, now)
+		p.newIncarnation(h, reply.Incarnation, p.wouldSeal(h, order.Token), sent, now)
 	} else {
 		h.forgotten = max(h.forgotten, order.Acknowledged)
 	}
--- a/internal/coordination/schedule/incarnation.go
+++ b/internal/coordination/schedule/incarnation.go
@@ -35,8 +35,7 @@
 	known := h.incarnation != 0
 	if known {
 		p.hostCrashed(h, sent, now)
-		h.fence.sealed = false
-		h.expiry = later(h.expiry, p.lateExpiry(h))
+		p.unseal(h)
 	}
 	h.incarnation, h.incarnationAt = incarnation, now
 	h.clock, h.clockAt, h.leaseSent = 0, now, 0
--- a/internal/coordination/schedule/late_orders_test.go
+++ b/internal/coordination/schedule/late_orders_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -93,3 +94,54 @@
 		})
 	}
 }
+
+// TestPoolTakesItsOwnOrderForALaterOwners guards against a pool that gives up its tenure: its own later order
+// has overtaken one that is then refused.
+func TestPoolTakesItsOwnOrderForALaterOwners(t *testing.T) {
+	h := newHarness(t, "h1")
+	h.add(idA, testStep(1, 1000))
+	starts, _ := h.plan()
+	overtaken := h.renewal("h1")
+	h.pool.RenewalFailed("h1", h.now, h.now, errNoAnswer)
+	probe := h.renewal("h1")
+	h.pool.Started("h1", starts[0].Order, h.now, worker.StartReply{Refusal: worker.RefusedFenced}, false, nil)
+	h.pool.ApplyRenewal("h1", overtaken, h.now, h.now, worker.RenewalReply{Fenced: true})
+	if h.pool.Fenced() {
+		t.Error("fenced by an order of its own")
+	}
+	h.pool.ApplyRenewal("h1", probe, h.now, h.now, worker.RenewalReply{Fenced: true})
+	if !h.pool.Fenced() {
+		t.Error("not fenced by a later owner")
+	}
+}
+
+// TestPoolScheduledAnewIsRefused guards against a pool whose orders all workers refuse: it was scheduled
+// before under the same token.
+func TestPoolScheduledAnewIsRefused(t *testing.T) {
+	var tokens []worker.FencingToken
+	epochs := &Epochs{}
+	for range 2 {
+		p := New("maps", 7, Limits{}, epoch, discardEvents{}, WithEpochs(epochs))
+		p.SetHosts([]worker.Report{report("h1"), report("h2")}, epoch)
+		for _, id := range []worker.ID{"h1", "h2"} {
+			tokens = append(tokens, p.probe(id).Token)
+		}
+	}
+	if !slices.IsSorted(tokens) || len(slices.Compact(slices.Clone(tokens))) != len(tokens) {
+		t.Errorf("tokens %d; want them to rise", tokens)
+	}
+}
+
+// TestNoEpochIsLeft guards against a token that falls into that of another tenure.
+func TestNoEpochIsLeft(t *testing.T) {
+	epochs := &Epochs{}
+	epochs.last.Store(1<<epochBits - 1)
+	p := New("maps", 7, Limits{}, epoch, discardEvents{}, WithEpochs(epochs))
+	p.SetHosts([]worker.Report{report("h1")}, epoch)
+	if token := p.probe("h1").Token; token>>epochBits != 7 {
+		t.Errorf("token %d is of tenure %d; want 7", token, token>>epochBits)
+	}
+	if !p.Fenced() {
+		t.Error("the pool goes on without an epoch")
+	}
+}
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -28,6 +28,10 @@
 // are.
 func WithReports(reports Reports) Option { return func(p *Pool) { p.reports = reports } }
 
+// WithEpochs sets the epochs of the fences. Pools that may have the same fencing token, one after the
+// other, must share them.
+func WithEpochs(epochs *Epochs) Option { return func(p *Pool) { p.epochs = epochs } }
+
 // Pool schedules the jobs of one pool for one tenure, under its fencing token.
 type Pool struct {
 	name   string
@@ -65,8 +69,7 @@
 	organisations organisations
 	// departed holds what is known of workers that have left the pool.
 	departed map[worker.ID]departed
-	// epoch is the highest of all hosts.
-	epoch int64
+	epochs   *Epochs
 	// fenced is set once a host has accepted the fencing token of a later owner.
 	fenced    bool
 	estimates estimates
@@ -91,7 +94,7 @@
 		jobs:              map[job.ID]*jobEntry{}, hosts: map[worker.ID]*host{},
 		open: map[job.ID]*jobEntry{}, dirty: map[job.ID]*jobEntry{}, unacknowledged: map[worker.ID]*host{},
 		reservations: map[*task]reservation{}, suspects: map[*task]struct{}{},
-		departed: map[worker.ID]departed{}, estimates: estimates{}, organisations: newOrganisations(),
+		departed: map[worker.ID]departed{}, epochs: &Epochs{}, estimates: estimates{}, organisations: newOrganisations(),
 	}
 	for _, apply := range opts {
 		apply(p)
--- a/internal/coordination/schedule/stop.go
+++ b/internal/coordination/schedule/stop.go
@@ -23,7 +23,7 @@
 	if !ok || p.fenced || !p.wantsStop(h, runKey{order.Task, order.Run}, now) {
 		return order, false
 	}
-	// Carried out late, a stop changes nothing: run numbers rise.
+	// A stop does not use the epoch, since it changes nothing if it is late: run numbers rise.
 	order.Token = p.tokenFor(h)
 	return order, true
 }
--- a/internal/jobhost/job_host.go
+++ b/internal/jobhost/job_host.go
@@ -75,6 +75,7 @@
 	operators *operatorsView
 	hosts     *hostsView
 	reports   *schedule.ReportFeed
+	epochs    schedule.Epochs
 	keeper    *owner.Keeper
 	candidacy *candidacyLoop
 	contact   contact
--- a/internal/jobhost/partition.go
+++ b/internal/jobhost/partition.go
@@ -207,7 +207,7 @@
 	r := &poolRunner{
 		host: p.host, wake: make(chan struct{}, 1), signalRecorder: p.recorder.signal, onFenced: p.onFenced, leaseClients: map[worker.ID]*leaseClient{},
 		pool: schedule.New(pool, worker.FencingToken(p.token), p.host.limits(), p.host.now(), p.host.events,
-			append([]schedule.Option{schedule.WithReports(p.host.reports)}, p.host.settings.PoolOptions...)...),
+			append([]schedule.Option{schedule.WithReports(p.host.reports), schedule.WithEpochs(&p.host.epochs)}, p.host.settings.PoolOptions...)...),
 	}
 	r.setOrganisations(p.host.config())
 	p.pools[pool] = r
