--- a/internal/emulator/site/late_orders_test.go
+++ b/internal/emulator/site/late_orders_test.go
@@ -201,3 +201,35 @@
 func startOf(w *Worker, index int, run int64, lease time.Duration) worker.StartOrder {
 	return worker.StartOrder{Task: taskOf(index), Run: run, Spec: "tiles", Token: 1 << 40, LeaseEnd: w.clock() + lease}
 }
+
+// crashTwice has workers go dark twice in a row; between is called after the first time.
+func crashTwice(f *fixture, between func()) {
+	for _, m := range f.machinesOf("maps", 4) {
+		f.wait.Go(func() {
+			f.site.restartWorker(m, darkCrash, darkTime)
+			time.Sleep(6*time.Second + time.Duration(1500*f.site.random())*time.Millisecond)
+			f.site.restartWorker(m, darkCrash, darkTime)
+		})
+	}
+	time.Sleep(1500 * time.Millisecond)
+	between()
+	time.Sleep(5 * time.Second)
+}
+
+func TestStartIntoTheDarkBeginsOnTheLifeAfterNext(t *testing.T) {
+	runSeeds(t, 16, func(f *fixture) {
+		runUnderLoad(f, func() { crashTwice(f, func() {}) })
+	})
+}
+
+func TestSuccessorForgetsAStartIntoTheDark(t *testing.T) {
+	runSeeds(t, 16, func(f *fixture) {
+		runUnderLoad(f, func() {
+			crashTwice(f, func() {
+				if n := slices.Index(f.hosts, f.site.Owner("maps")); n >= 0 {
+					f.restart(n, 5*time.Second)
+				}
+			})
+		})
+	})
+}
