emulator: keep a green test of late orders to lives that their owner knows

What it checked until late orders reached lives of any age stays checked: TestLateOrdersReachSealedLives is the same for orders of all kinds that are carried out by lives of five seconds or more, with workers that refuse calls while they are away and with workers that go dark.

--- a/internal/emulator/site/late_orders.go
+++ b/internal/emulator/site/late_orders.go
@@ -39,6 +39,19 @@
 	}
 }
 
+// SetLateOrderAge sets the least age of a life that carries out late orders, zero by default.
+func (s *Site) SetLateOrderAge(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.minLateOrderAge = age
+}
+
+func (s *Site) lateOrderAge() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.minLateOrderAge
+}
+
 func (s *Site) deliverLate(o lateOrder) {
 	delay := time.Duration(0)
 	if !s.chance(promptShare) {
@@ -52,7 +65,7 @@
 		w := s.worker(o.id)
 		switch {
 		case time.Since(o.sent) > maxLateDelay:
-		case w.isDark() || (!o.arrived && s.separated(o.from, w)):
+		case w.isDark() || (!o.arrived && s.separated(o.from, w)) || time.Since(w.startedAt) < s.lateOrderAge():
 			s.deliverAfter(deliveryInterval, o)
 		case w.alive():
 			result := o.carryOut(w)
--- a/internal/emulator/site/restarted_workers_test.go
+++ b/internal/emulator/site/restarted_workers_test.go
@@ -62,6 +62,22 @@
 	}
 }
 
+// sealTime is the time within which an owner has sealed the next life of a worker.
+const sealTime = 5 * time.Second
+
+// TestLateOrdersReachSealedLives guards against orders to former lives that have an effect on one which
+// their owner knows.
+func TestLateOrdersReachSealedLives(t *testing.T) {
+	for name, kind := range map[string]crashKind{"refusing": refusingCrash, "dark": darkCrash} {
+		t.Run(name, func(t *testing.T) {
+			runSeeds(t, 16, func(f *fixture) {
+				f.site.SetLateOrderAge(sealTime)
+				runRestartedWorkers(f, kind)
+			})
+		})
+	}
+}
+
 // TestLateStartsReachWorkersThatGoDark: orders get no answer while the workers are down.
 func TestLateStartsReachWorkersThatGoDark(t *testing.T) {
 	for seed := range uint64(16) {
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -64,6 +64,8 @@
 	lostOrders float64
 	// lostOrdersOf holds the shares of single machines.
 	lostOrdersOf map[string]float64
+	// minLateOrderAge is the least age of a life that carries out late orders.
+	minLateOrderAge time.Duration
 	// isolated holds the data centres that are partitioned from the others.
 	isolated map[string]bool
 	// machineServiceDown means that the machine service does not answer.
