--- a/internal/emulator/site/ledger.go
+++ b/internal/emulator/site/ledger.go
@@ -258,6 +258,13 @@
 	return notRunning
 }
 
+// isRunning reports whether a worker runs a task.
+func (l *Ledger) isRunning(name worker.TaskName) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.history(name).running) > 0
+}
+
 // holderLease is the minimum time between orders of two different holders for a machine.
 const holderLease = 3 * time.Second
 
--- a/internal/emulator/site/store.go
+++ b/internal/emulator/site/store.go
@@ -30,6 +30,8 @@
 	LostAnswerShare float64
 	// LatencyFactor is a factor by which the latency is multiplied; 0 leaves it unchanged.
 	LatencyFactor float64
+	// SilentTopic is a topic of which reads get no answer.
+	SilentTopic string
 }
 
 // Store is an in-memory partitioned log with consumer groups.
@@ -157,6 +159,16 @@
 	return fault, nil
 }
 
+// simulateRead does the same for a read of a partition.
+func (a *storeAccess) simulateRead(ctx context.Context, id keyedlog.Partition) error {
+	fault, err := a.simulateCall(ctx)
+	if err == nil && fault.SilentTopic == id.Topic {
+		<-ctx.Done()
+		return verdict.MayHaveRunError(verdict.CauseUpstreamSilent, "the store does not answer")
+	}
+	return err
+}
+
 // Append appends all of the records or none.
 func (a *storeAccess) Append(ctx context.Context, id keyedlog.Partition, records []keyedlog.Record, producer *keyedlog.Producer) error {
 	fault, err := a.simulateCall(ctx)
@@ -237,7 +249,7 @@
 
 // Read returns the records from an offset on, and waits up to the given time for one.
 func (a *storeAccess) Read(ctx context.Context, id keyedlog.Partition, from int64, wait time.Duration) (keyedlog.Batch, error) {
-	if _, err := a.simulateCall(ctx); err != nil {
+	if err := a.simulateRead(ctx, id); err != nil {
 		return keyedlog.Batch{}, err
 	}
 	timer := time.NewTimer(wait)
@@ -268,7 +280,7 @@
 
 // Newest returns the newest record of each key.
 func (a *storeAccess) Newest(ctx context.Context, id keyedlog.Partition) (keyedlog.Batch, error) {
-	if _, err := a.simulateCall(ctx); err != nil {
+	if err := a.simulateRead(ctx, id); err != nil {
 		return keyedlog.Batch{}, err
 	}
 	a.store.mu.Lock()
