jobhost: read the newest records page by page

What callers saw: a key or a route of a version that was published seconds ago is refused by one entry host (CONFIG), and a pool or the machines have no acting owner for 5 s after a change of owner.

Cause: the newest records of all keys were read in one go with one timeout of 5 s, longer than a version may take to be in force (2 to 4 s) and than an entry host has after an outage (3 to 5 s). One lost answer cost all of it, and every page that had been read. The reads that follow had 0.5 s for up to 1 MB.

A load that makes progress has no limit any more. The owner of the machines reads its state the same way.

--- a/internal/emulator/site/store.go
+++ b/internal/emulator/site/store.go
@@ -16,6 +16,9 @@
 // recordBytes and callBytes are the store's limits on a record and on an append.
 const recordBytes, callBytes = 16 << 10, 64 << 10
 
+// pageKeys is how many of the newest records of all keys the store returns at once.
+const pageKeys = 50
+
 // storeLatency is how long a call of the store takes in the absence of faults.
 const storeLatency = 4 * time.Millisecond
 
@@ -278,13 +281,14 @@
 	}
 }
 
-// Newest returns the newest record of each key.
-func (a *storeAccess) Newest(ctx context.Context, id keyedlog.Partition) (keyedlog.Batch, error) {
+// Newest returns the newest records of the keys that follow the given one, at most pageKeys.
+func (a *storeAccess) Newest(ctx context.Context, id keyedlog.Partition, after string) (keyedlog.Page, error) {
 	if err := a.simulateRead(ctx, id); err != nil {
-		return keyedlog.Batch{}, err
+		return keyedlog.Page{}, err
 	}
 	a.store.mu.Lock()
 	defer a.store.mu.Unlock()
 	p := a.store.partition(id)
-	return keyedlog.Batch{Records: p.newest(), End: p.end(), Next: p.end()}, nil
+	records := slices.DeleteFunc(p.newest(), func(r keyedlog.Record) bool { return r.Key <= after })
+	return keyedlog.Page{Records: records[:min(pageKeys, len(records))], More: len(records) > pageKeys, End: p.end()}, nil
 }
--- a/internal/jobhost/fleet_owner.go
+++ b/internal/jobhost/fleet_owner.go
@@ -137,7 +137,8 @@
 		f.reacquire()
 		return
 	}
-	for ctx.Err() == nil && !f.load(ctx) {
+	newest := newestReader{log: f.host.platform.Log, partition: f.tenurePartition()}
+	for ctx.Err() == nil && !f.load(ctx, &newest) {
 		wait(ctx, retryPause)
 	}
 	f.loops.Go(func() { f.writeTenure(ctx) })
@@ -148,10 +149,8 @@
 	}
 }
 
-func (f *fleetOwner) load(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
-	defer cancel()
-	batch, err := f.host.platform.Log.Newest(ctx, f.tenurePartition())
+func (f *fleetOwner) load(ctx context.Context, newest *newestReader) bool {
+	batch, err := newest.read(ctx)
 	if err != nil {
 		return false
 	}
--- a/internal/jobhost/follower.go
+++ b/internal/jobhost/follower.go
@@ -20,8 +20,6 @@
 	// configuration to be in force within the required two seconds even if one answer is
 	// lost.
 	readSlack = 500 * time.Millisecond
-	// newestTimeout bounds the reading of the newest record of all keys.
-	newestTimeout = 5 * time.Second
 	// retryPause is the pause after a failed call to the log.
 	retryPause = 300 * time.Millisecond
 )
@@ -53,10 +51,15 @@
 	// returns several.
 	gather time.Duration
 
-	from int64
+	newest newestReader
+	from   int64
 	// position mirrors from for other goroutines.
 	position atomic.Int64
-	loaded   bool
+	// begun is set once the newest records are applied, loaded once all that the log held then are.
+	begun, loaded bool
+	// loadBegan is when the load that has not ended began, keys how many keys it found.
+	loadBegan time.Time
+	keys      int
 	// logReachable is whether the last call to the log succeeded.
 	logReachable bool
 }
@@ -64,6 +67,7 @@
 // run reads the partition until ctx ends.
 func (f *follower) run(ctx context.Context) {
 	f.logReachable = true
+	f.newest.log, f.newest.partition = f.log, f.partition
 	for ctx.Err() == nil {
 		err := f.step(ctx)
 		if ctx.Err() != nil {
@@ -93,29 +97,34 @@
 	}
 	if errors.Is(err, keyedlog.ErrTrimmed) {
 		f.events.Event("log-trimmed", "topic", f.partition.Topic, "partition", f.partition.Number, "offset", f.from)
-		f.loaded = false
+		f.begun, f.loaded = false, false
 		return nil
 	}
 	return err
 }
 
-// load applies the newest record of each key, then the records added meanwhile.
+// load applies the newest record of each key, then the records added meanwhile. After an error it goes on
+// where it was.
 func (f *follower) load(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
-	defer cancel()
-	began := f.now()
-	batch, err := f.log.Newest(ctx, f.partition)
-	if err != nil {
-		return err
+	if f.loadBegan.IsZero() {
+		f.loadBegan = f.now()
 	}
-	if f.reset != nil {
-		f.reset()
+	if !f.begun {
+		batch, err := f.newest.read(ctx)
+		if err != nil {
+			return err
+		}
+		if f.reset != nil {
+			f.reset()
+		}
+		f.apply(batch.Records)
+		f.moveTo(batch.Next)
+		f.begun, f.keys = true, len(batch.Records)
 	}
-	f.apply(batch.Records)
-	f.moveTo(batch.Next)
 	for {
 		more, err := f.read(ctx, 0)
 		if errors.Is(err, keyedlog.ErrTrimmed) {
+			f.begun = false
 			return nil
 		}
 		if err != nil {
@@ -126,8 +135,9 @@
 		}
 	}
 	f.loaded = true
-	f.events.Event("log-read", "topic", f.partition.Topic, "partition", f.partition.Number, "keys", len(batch.Records),
-		"unreadable", batch.Unreadable, "offset", f.from, "took", f.now().Sub(began))
+	f.events.Event("log-read", "topic", f.partition.Topic, "partition", f.partition.Number, "keys", f.keys,
+		"offset", f.from, "took", f.now().Sub(f.loadBegan))
+	f.loadBegan = time.Time{}
 	if f.onLoaded != nil {
 		f.onLoaded()
 	}
@@ -135,7 +145,8 @@
 }
 
 func (f *follower) read(ctx context.Context, wait time.Duration) (keyedlog.Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+readSlack)
+	// An answer that is not waited for may be as large as the log allows.
+	ctx, cancel := context.WithTimeout(ctx, max(wait+readSlack, minPageTimeout))
 	defer cancel()
 	sent := f.now()
 	batch, err := f.log.Read(ctx, f.partition, f.from, wait)
--- a/internal/jobhost/ports.go
+++ b/internal/jobhost/ports.go
@@ -19,8 +19,8 @@
 	// Read returns records from an offset on and waits up to wait for the first one. It
 	// fails with keyedlog.ErrTrimmed if some of them are no longer kept.
 	Read(ctx context.Context, partition keyedlog.Partition, from int64, wait time.Duration) (keyedlog.Batch, error)
-	// Newest returns the newest record of each key, and the offset from which to read on.
-	Newest(ctx context.Context, partition keyedlog.Partition) (keyedlog.Batch, error)
+	// Newest returns the newest records of the keys that follow the given one.
+	Newest(ctx context.Context, partition keyedlog.Partition, after string) (keyedlog.Page, error)
 	Join(ctx context.Context, request keyedlog.JoinRequest) (keyedlog.Assignment, error)
 	Leave(ctx context.Context, group, member string) error
 	Owners(ctx context.Context, group string) ([]keyedlog.Owner, error)
--- a/internal/protocol/keyedlog/keyed_log.go
+++ b/internal/protocol/keyedlog/keyed_log.go
@@ -50,6 +50,15 @@
 	Next int64
 }
 
+// Page is a part of the newest records of all keys, in the order of their keys.
+type Page struct {
+	Records []Record
+	// More is set if other keys follow.
+	More bool
+	// End is the offset after the last record of the partition.
+	End int64
+}
+
 // Assignment is the set of partitions that a member of a group is assigned.
 type Assignment struct {
 	Generation int64
