jobhost: ask peers for the configuration while its own topic is silent

What callers saw: one entry host refuses a key or a route of a version that all others have (CONFIG).

Cause: peers were asked only while the log answered nothing at all. Renewals of the membership and the list of owners kept an entry host in contact whose reads of the operators' partition got no answer.

Now what counts is the last answer for the operators' partition. Three owners of the last known list are asked at a time, all of them in turn.

--- a/internal/jobhost/directory.go
+++ b/internal/jobhost/directory.go
@@ -136,6 +136,11 @@
 // ownerAddresses returns the addresses of all other entry hosts that own a partition.
 func (d *directory) ownerAddresses(ctx context.Context) []netip.AddrPort {
 	d.refresh(ctx, ownersMaxAge)
+	return d.knownOwners()
+}
+
+// knownOwners returns the same by the last list, however old that is.
+func (d *directory) knownOwners() []netip.AddrPort {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var found []netip.AddrPort
--- a/internal/jobhost/job_host.go
+++ b/internal/jobhost/job_host.go
@@ -15,7 +15,6 @@
 	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/machine"
-	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 	"github.com/hornbeammast/hornbeammast/internal/transport/peer"
 )
@@ -32,9 +31,6 @@
 	// hostsGatherTime is how long reports of hosts are collected before the next read, since
 	// they arrive continuously.
 	hostsGatherTime = 250 * time.Millisecond
-	// askPeersInterval is how often peers are asked for the configuration while the log
-	// does not answer.
-	askPeersInterval = 400 * time.Millisecond
 	// idleOwnersMaxAge is the age at which the list of owners is read again even if no
 	// request needs it.
 	idleOwnersMaxAge = 5 * time.Second
@@ -73,6 +69,7 @@
 	metrics  *metrics
 
 	operators *operatorsView
+	versions  *peerVersions
 	hosts     *hostsView
 	reports   *schedule.ReportFeed
 	epochs    schedule.Epochs
@@ -124,6 +121,7 @@
 	h.server = server
 	h.peers = peer.NewJobClient(h.network)
 	h.operators = &operatorsView{codec: platform.Records, events: events, onChange: h.refresh, waves: map[int64]machine.Wave{}, pools: map[string]map[string]struct{}{}}
+	h.versions = newPeerVersions(h)
 	h.hosts = &hostsView{codec: platform.Records, events: events, onChange: h.refresh, hosts: map[worker.ID]worker.Report{}, unreadable: map[worker.ID]struct{}{}}
 	h.reports = schedule.NewReportFeed(s.Limits)
 	member := memberName(&s, server.Address(), now())
@@ -145,48 +143,17 @@
 		apply: h.operators.apply, onAnswer: h.operatorsAnswered, onRefused: h.reports.LogRefused,
 	}
 	h.loops.Go(func() { operators.run(ctx) })
-	h.loops.Go(func() { h.askPeers(ctx) })
+	h.loops.Go(func() { h.versions.run(ctx) })
 	h.loops.Go(func() { h.keeper.Run(ctx) })
 	h.loops.Go(func() { h.candidacy.run(ctx) })
 }
 
 func (h *JobHost) operatorsAnswered(sent time.Time) {
 	h.contact.answered(h.now())
+	h.versions.answered(h.now())
 	h.reports.LogAnswered(sent)
 }
 
-// askPeers fetches newer configurations from peers while the log does not answer this
-// entry host.
-func (h *JobHost) askPeers(ctx context.Context) {
-	for ctx.Err() == nil {
-		wait(ctx, askPeersInterval)
-		if h.inContact() {
-			// Peers are found by the list of owners, which must be read before the log
-			// becomes unreachable.
-			h.directory.refresh(ctx, idleOwnersMaxAge)
-			continue
-		}
-		version := int64(0)
-		if config := h.config(); config != nil {
-			version = config.Version
-		}
-		peers := h.directory.ownerAddresses(ctx)
-		for _, address := range peers[:min(relayPeers, len(peers))] {
-			if h.directory.unresponsive(address) {
-				continue
-			}
-			reply, err := h.peers.Configuration(ctx, address, &wire.ConfigurationRequest{Above: version})
-			if err != nil {
-				h.directory.markUnresponsive(address)
-				continue
-			}
-			if len(reply.GetValue()) > 0 {
-				h.operators.apply([]keyedlog.Record{{Key: reply.GetKey(), Value: reply.GetValue()}})
-			}
-		}
-	}
-}
-
 // Intake returns the intake, which serves callers' requests about jobs.
 func (h *JobHost) Intake() *intake.Intake { return h.intake }
 
--- /dev/null
+++ b/internal/jobhost/peer_versions.go
@@ -0,0 +1,95 @@
+package jobhost
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
+)
+
+const (
+	// askPeersInterval is how often peers are asked for the configuration.
+	askPeersInterval = 400 * time.Millisecond
+	// askedPeers is how many peers are asked at a time. Each may answer with the whole configuration.
+	askedPeers = 3
+)
+
+// peerVersions fetches newer versions of the configuration from peers while the log does not answer for
+// the operators' partition.
+type peerVersions struct {
+	host *JobHost
+
+	mu sync.Mutex
+	// answeredAt is when the log last answered a read of the operators' partition.
+	answeredAt time.Time
+	// asked is how many peers were asked.
+	asked int
+}
+
+func newPeerVersions(h *JobHost) *peerVersions {
+	return &peerVersions{host: h}
+}
+
+// answered notes an answer of the log.
+func (v *peerVersions) answered(at time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.answeredAt = at
+}
+
+// needed reports whether the log may hold a version that it has not shown to this entry host.
+func (v *peerVersions) needed(now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return now.Sub(v.answeredAt) >= readContactTimeout
+}
+
+// run asks peers when needed until ctx ends.
+func (v *peerVersions) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait(ctx, askPeersInterval)
+		if v.needed(v.host.now()) {
+			v.ask(ctx)
+			continue
+		}
+		// Peers are found by the list of owners, which must be read before the log becomes unreachable.
+		v.host.directory.refresh(ctx, idleOwnersMaxAge)
+	}
+}
+
+// ask asks the next peers for a newer version than the one in force.
+func (v *peerVersions) ask(ctx context.Context) {
+	request := &wire.ConfigurationRequest{Above: v.host.operators.version()}
+	var asked sync.WaitGroup
+	for _, address := range v.next() {
+		asked.Go(func() {
+			reply, err := v.host.peers.Configuration(ctx, address, request)
+			switch {
+			case err != nil:
+				v.host.directory.markUnresponsive(address)
+				v.host.events.Event("peer-silent", "peer", address, "call", "configuration", "error", err)
+			case len(reply.GetValue()) > 0:
+				v.host.operators.apply([]keyedlog.Record{{Key: reply.GetKey(), Value: reply.GetValue()}})
+			}
+		})
+	}
+	asked.Wait()
+}
+
+// next returns the peers to ask, others each time.
+func (v *peerVersions) next() []netip.AddrPort {
+	peers := slices.DeleteFunc(v.host.directory.knownOwners(), v.host.directory.unresponsive)
+	slices.SortFunc(peers, netip.AddrPort.Compare)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var next []netip.AddrPort
+	for range min(askedPeers, len(peers)) {
+		next = append(next, peers[v.asked%len(peers)])
+		v.asked++
+	}
+	return next
+}
--- a/internal/jobhost/views.go
+++ b/internal/jobhost/views.go
@@ -101,6 +101,14 @@
 	return nil
 }
 
+// version returns the version in force, or 0 if there is none yet.
+func (v *operatorsView) version() int64 {
+	if c := v.config(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
 // Access returns the directory of the keys of the configuration in force, and that configuration; nil
 // if there is none yet.
 func (h *JobHost) Access() *access.Directory { return h.operators.inForce.Load() }
