jobhost: start nothing by a version that is not in force here

What callers saw: an entry host handles a request by an older version of the configuration than the one whose effect a worker has seen from it (CONFIG: it came back older, or a route that had been added was not served).

Cause: an owner took jobs by the version that their entry host had, and started their tasks, whether or not it had that version itself. Its own read of the operators' partition may be up to 1.8 s behind that of others: after an outage, or when one answer was lost.

An owner that reads a job of a newer version now plans nothing before it has that version, for 2 s at most, and asks its peers for it at once.

--- a/internal/jobhost/partition_records.go
+++ b/internal/jobhost/partition_records.go
@@ -76,6 +76,7 @@
 		p.restoreJob(first.job, submitted)
 		return
 	}
+	p.host.versions.require(submitted.ConfigVersion, id)
 	state := jobs.New(submitted)
 	if !p.loaded.Load() {
 		// The job's progress and cancel may be among the records still to be read.
--- a/internal/jobhost/peer_versions.go
+++ b/internal/jobhost/peer_versions.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/keyedlog"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/wire"
 )
@@ -16,22 +17,29 @@
 	askPeersInterval = 400 * time.Millisecond
 	// askedPeers is how many peers are asked at a time. Each may answer with the whole configuration.
 	askedPeers = 3
+	// maxVersionWait bounds how long an owner plans nothing because it lacks a version, so that one
+	// which nobody can deliver does not stop its pools.
+	maxVersionWait = 2 * time.Second
 )
 
 // peerVersions fetches newer versions of the configuration from peers while the log does not answer for
-// the operators' partition.
+// the operators' partition, and while a job was accepted by a version that this entry host lacks.
 type peerVersions struct {
 	host *JobHost
+	wake chan struct{}
 
 	mu sync.Mutex
 	// answeredAt is when the log last answered a read of the operators' partition.
 	answeredAt time.Time
+	// required is the newest version by which a job was accepted, since requiredAt.
+	required   int64
+	requiredAt time.Time
 	// asked is how many peers were asked.
 	asked int
 }
 
 func newPeerVersions(h *JobHost) *peerVersions {
-	return &peerVersions{host: h}
+	return &peerVersions{host: h, wake: make(chan struct{}, 1)}
 }
 
 // answered notes an answer of the log.
@@ -41,8 +49,39 @@
 	v.answeredAt = at
 }
 
+// require notes that a job was accepted by a version. Until it is in force here, no task may be started
+// by what it says: this entry host would then handle requests by an older version than its workers.
+func (v *peerVersions) require(version int64, id job.ID) {
+	inForce := v.host.operators.version()
+	v.mu.Lock()
+	known := version <= max(inForce, v.required)
+	if !known {
+		v.required, v.requiredAt = version, v.host.now()
+	}
+	v.mu.Unlock()
+	if known {
+		return
+	}
+	v.host.events.Event("version-required", "version", version, "in-force", inForce, "job", id)
+	select {
+	case v.wake <- struct{}{}:
+	default:
+	}
+}
+
+// lacking reports whether a version that is required has not come into force yet.
+func (v *peerVersions) lacking(now time.Time) bool {
+	inForce := v.host.operators.version()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.required > inForce && now.Sub(v.requiredAt) < maxVersionWait
+}
+
 // needed reports whether the log may hold a version that it has not shown to this entry host.
 func (v *peerVersions) needed(now time.Time) bool {
+	if v.lacking(now) {
+		return true
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return now.Sub(v.answeredAt) >= readContactTimeout
@@ -51,7 +90,7 @@
 // run asks peers when needed until ctx ends.
 func (v *peerVersions) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait(ctx, askPeersInterval)
+		v.pause(ctx)
 		if v.needed(v.host.now()) {
 			v.ask(ctx)
 			continue
@@ -61,6 +100,16 @@
 	}
 }
 
+func (v *peerVersions) pause(ctx context.Context) {
+	timer := time.NewTimer(askPeersInterval)
+	defer timer.Stop()
+	select {
+	case <-v.wake:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // ask asks the next peers for a newer version than the one in force.
 func (v *peerVersions) ask(ctx context.Context) {
 	request := &wire.ConfigurationRequest{Above: v.host.operators.version()}
--- a/internal/jobhost/pool_runner.go
+++ b/internal/jobhost/pool_runner.go
@@ -96,6 +96,9 @@
 		r.onFenced()
 		return
 	}
+	if r.host.versions.lacking(now) {
+		return
+	}
 	orders := r.pool.Plan(now)
 	r.pacer.Planned(now, r.host.now())
 	if orders.HasPlacements || orders.HasGivenUp {
