--- a/internal/coordination/schedule/hold.go
+++ b/internal/coordination/schedule/hold.go
@@ -93,6 +93,7 @@
 	} else {
 		h.forgotten = max(h.forgotten, order.Acknowledged)
 	}
+	p.work.Renewals++
 	p.seal(h, order.Token, now)
 	if !h.confirmed && h.fence.sealed {
 		p.events.Event("host-answers", "host", id, "pool", p.name, "life", reply.Incarnation, "running", len(reply.Running), "ended", len(reply.Ended))
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -134,6 +134,7 @@
 
 // allowed reports whether a task of a step may be started on a host now.
 func (p *Pool) allowed(s *step, h *host, now time.Time) bool {
+	p.work.HostChecks++
 	if !p.usable(h, s.def.Gang, now) || h.onTrial() || !p.capacityKnown(h, now) || !s.def.Reserved().Fits(h.free()) {
 		return false
 	}
@@ -161,6 +162,7 @@
 	}
 	p.noteQuotaWait(t)
 	p.attach(r)
+	p.work.Placed++
 	h.startsInFlight++
 	h.lastStart = now
 	e.started = true
--- a/internal/coordination/schedule/plan.go
+++ b/internal/coordination/schedule/plan.go
@@ -50,6 +50,7 @@
 	if p.fenced {
 		return orders
 	}
+	p.work.Plans++
 	p.expireLeases(now)
 	p.expireReservations(now)
 	p.countPending(now)
--- a/internal/coordination/schedule/pool.go
+++ b/internal/coordination/schedule/pool.go
@@ -77,6 +77,7 @@
 	shares *fairShares
 	// plans counts the plans, and the changes from a configuration without organisations.
 	plans int64
+	work  Work
 	// neighbours is nil unless interference is sampled.
 	neighbours *neighbours
 	// ignoreSuspicion is set while so many hosts are suspected that they don't differ by it.
--- a/internal/coordination/schedule/start.go
+++ b/internal/coordination/schedule/start.go
@@ -39,6 +39,7 @@
 	e, queued := r.task.step.job, now.Sub(r.sentAt)
 	r.state, r.unsent, r.queued, r.sentAt, r.token = stateSending, false, false, now, p.useToken(h)
 	h.lastStart = now
+	p.work.Starts++
 	h.unanswered.add(r.key(), now)
 	order.Token, order.Ticket, order.LeaseEnd = r.token, ticket, h.nextLease(now, p.startLease(r))
 	pairs := []any{
--- a/internal/jobhost/job_host.go
+++ b/internal/jobhost/job_host.go
@@ -145,6 +145,7 @@
 	h.loops.Go(func() { operators.run(ctx) })
 	h.loops.Go(func() { h.versions.run(ctx) })
 	h.loops.Go(func() { h.keeper.Run(ctx) })
+	h.loops.Go(func() { (&workReporter{host: h}).run(ctx) })
 	h.loops.Go(func() { h.candidacy.run(ctx) })
 }
 
--- a/internal/jobhost/pool_runner.go
+++ b/internal/jobhost/pool_runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/coordination/schedule"
@@ -35,6 +36,8 @@
 	wake  chan struct{}
 	loops sync.WaitGroup
 	pacer schedule.Pacer
+	// planned is how long all plans took, in nanoseconds.
+	planned atomic.Int64
 	// started is set once the pool is planned; the partition's lock guards it.
 	started bool
 	// organisationsOf is the configuration whose organisations the pool has; the partition's lock
@@ -100,7 +103,9 @@
 		return
 	}
 	orders := r.pool.Plan(now)
-	r.pacer.Planned(now, r.host.now())
+	ended := r.host.now()
+	r.pacer.Planned(now, ended)
+	r.planned.Add(int64(ended.Sub(now)))
 	if orders.HasPlacements || orders.HasGivenUp {
 		r.signalRecorder()
 	}
