--- a/internal/coordination/schedule/bench_test.go
+++ b/internal/coordination/schedule/bench_test.go
@@ -13,16 +13,7 @@
 // loadedPool returns a pool whose hosts are full and whose other jobs wait.
 func loadedPool(b *testing.B, hosts, waiting int) (*Pool, time.Time) {
 	b.Helper()
-	now := epoch
-	p := New("maps", 7, Limits{Lease: 5 * time.Second, MaxLease: 10 * time.Second, RenewalWait: time.Second}, now, discardEvents{})
-	var reports []worker.Report
-	for n := range hosts {
-		reports = append(reports, report(worker.ID(fmt.Sprintf("h%03d", n))))
-	}
-	p.SetHosts(reports, now)
-	for _, r := range reports {
-		p.ApplyRenewal(r.ID, p.probe(r.ID), now, now, worker.RenewalReply{Clock: time.Second, Incarnation: 1})
-	}
+	p, now := emptyPool(b, hosts)
 	for n := range hosts*4 + waiting {
 		p.AddJob(jobs.New(&job.Job{
 			ID: job.ID(fmt.Sprintf("%016x", n)), Queue: "tiles", Pool: "maps", MaxAttempts: 2, Stretch: 1.6, AcceptedAt: now,
