schedule: check each host once for the tasks of a step

Cause: cost that grows with tasks times hosts. A plan checked and scored every host for every task that it placed.

Placing a task changes no host but its own, so that the others are checked once for a step, and the host that was chosen once more. Steps of one rack and pools that avoid disturbance, where a placement changes other scores, search as before.

TestHostChoiceIsThatOfAFullSearch compares the choices.

--- a/internal/coordination/schedule/host_choice_test.go
+++ b/internal/coordination/schedule/host_choice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -45,3 +46,51 @@
 		t.Errorf("%d checks of hosts for %d runs of %d steps on %d hosts; want %d at most", work.HostChecks, work.Placed, steps, hosts, most)
 	}
 }
+
+// TestHostChoiceIsThatOfAFullSearch places tasks of many steps on hosts of all kinds of state.
+func TestHostChoiceIsThatOfAFullSearch(t *testing.T) {
+	p, now := emptyPool(t, 12)
+	random := rand.New(rand.NewPCG(1, 2))
+	for n := range 12 {
+		h := p.hosts[worker.ID(fmt.Sprintf("h%03d", n))]
+		h.report.Rack = fmt.Sprintf("r%d", n/4)
+		h.use = Use(random.IntN(2))
+		h.startsInFlight = random.IntN(maxStartsPerHost)
+	}
+	for n := range 200 {
+		definition := testStep(1+random.IntN(4), int64(100+random.IntN(1500)))
+		definition.LongRunning, definition.MaxPerHost, definition.DataRack = random.IntN(3) == 0, random.IntN(3), fmt.Sprintf("r%d", random.IntN(4))
+		e := &jobEntry{Job: jobs.New(&job.Job{ID: job.ID(fmt.Sprintf("%016x", n)), Pool: "maps", Steps: []job.Step{definition}}), occurrences: map[int]*occurrence{}}
+		s := e.step(e.open(0), 0)
+		choice := p.newHostChoice(s, now)
+		for index := range definition.Tasks {
+			task := s.task(index)
+			task.avoidHost = worker.ID(fmt.Sprintf("h%03d", random.IntN(12)))
+			want, got := p.highestScore(task, now), choice.best(task)
+			if want != got {
+				t.Fatalf("task %d of step %d: host %v; want %v", index, n, got, want)
+			}
+			if want == nil {
+				break
+			}
+			p.start(task, want, int64(index), now, &Orders{})
+			choice.changed(want)
+		}
+	}
+}
+
+func BenchmarkPlace(b *testing.B) {
+	for _, hosts := range []int{30, 100, 250} {
+		b.Run(fmt.Sprintf("hosts-%d", hosts), func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				p, now := emptyPool(b, hosts)
+				for n := range 2 * hosts {
+					p.AddJob(jobs.New(&job.Job{ID: job.ID(fmt.Sprintf("%016x", n)), Pool: "maps", AcceptedAt: now, Steps: []job.Step{testStep(8, 1000)}}))
+				}
+				b.StartTimer()
+				p.Plan(now)
+			}
+		})
+	}
+}
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -81,6 +81,7 @@
 // placeTasks places a step's tasks one by one and reports whether there was room for all that the
 // quota admits.
 func (p *Pool) placeTasks(c candidate, now time.Time, orders *Orders) bool {
+	choice := p.newHostChoice(c.step, now)
 	for t := range c.step.startable(now) {
 		if c.step.job.organisation != nil && !p.admitsNow(t, now) {
 			if !t.kept() {
@@ -90,13 +91,17 @@
 			continue
 		}
 		h := p.unreserve(t)
+		if h != nil {
+			choice.changed(h)
+		}
 		if h == nil || !p.allowed(t.step, h, now) {
-			h = p.bestHost(t, now)
+			h = choice.best(t)
 		}
 		if h == nil {
 			return false
 		}
 		p.start(t, h, t.nextRunNumber(p.token), now, orders)
+		choice.changed(h)
 	}
 	return true
 }
