jobhost: ask a host for its runs no more often than its pool is planned

Cause: work that has no effect.

After an answer the next renewal now waits until 20 ms before a plan that is due. The pacer knows when that is; a pool that is planned every 40 ms or more often waits for nothing.

--- a/internal/coordination/schedule/pacer.go
+++ b/internal/coordination/schedule/pacer.go
@@ -18,6 +18,8 @@
 type Pacer struct {
 	mu  sync.Mutex
 	due time.Time
+	// interval is the time from the begin of the last plan until the next one is due.
+	interval time.Duration
 }
 
 // Due returns how long to wait until the next plan, 0 if it is due.
@@ -33,4 +35,25 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.due = ended.Add(min(maxPlanPause, pause))
+	p.interval = p.due.Sub(began)
+}
+
+// planLead is how long before a plan the hosts are asked for what it should know.
+const planLead = 20 * time.Millisecond
+
+// Ask returns how long to wait before a host that has just answered is asked again for its runs. What it
+// could list sooner would have no effect before the next plan, and each answer costs processor time. A
+// pool that is planned often enough does not wait.
+func (p *Pacer) Ask(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.interval <= 2*planLead {
+		return 0
+	}
+	pause := p.due.Add(-planLead).Sub(now)
+	if pause <= 0 {
+		// The answer is there for the plan that is due, so the next one is for the plan that follows.
+		pause += p.interval
+	}
+	return max(0, pause)
 }
--- a/internal/jobhost/conversation.go
+++ b/internal/jobhost/conversation.go
@@ -66,6 +66,7 @@
 		}
 		retry = renewalRetryMin
 		c.awaitRecord(ctx, id)
+		wait(ctx, c.runner.pacer.Ask(c.runner.host.now()))
 	}
 }
 
