--- a/internal/coordination/schedule/host_choice.go
+++ b/internal/coordination/schedule/host_choice.go
@@ -11,6 +11,7 @@
 	pool *Pool
 	step *step
 	now  time.Time
+	open []*host
 	// hosts are those that may take a task, with their scores for one that avoids none. It is nil before
 	// the first choice.
 	hosts []scoredHost
@@ -21,8 +22,20 @@
 	score float64
 }
 
-func (p *Pool) newHostChoice(s *step, now time.Time) *hostChoice {
-	return &hostChoice{pool: p, step: s, now: now}
+func (p *Pool) newHostChoice(s *step, r *round) *hostChoice {
+	return &hostChoice{pool: p, step: s, now: r.now, open: r.open}
+}
+
+// openHosts returns the hosts on which tasks may be started now, whether or not they have room. Placing
+// tasks changes only that.
+func (p *Pool) openHosts(now time.Time) []*host {
+	open := make([]*host, 0, len(p.hosts))
+	for _, h := range p.hosts {
+		if h.reachable() && !now.Before(h.pausedUntil) && p.capacityKnown(h, now) {
+			open = append(open, h)
+		}
+	}
+	return open
 }
 
 // best returns the same host for a task of the step as bestHost.
@@ -57,9 +70,10 @@
 }
 
 func (c *hostChoice) check() {
-	c.hosts = make([]scoredHost, 0, len(c.pool.hosts))
-	for _, h := range c.pool.hosts {
-		if c.pool.allowed(c.step, h, c.now) {
+	c.hosts = []scoredHost{}
+	needs := c.step.def.Reserved()
+	for _, h := range c.open {
+		if needs.Fits(h.free()) && c.pool.allowed(c.step, h, c.now) {
 			c.hosts = append(c.hosts, scoredHost{h, c.pool.score(&task{step: c.step}, h, c.now)})
 		}
 	}
--- a/internal/coordination/schedule/host_choice_test.go
+++ b/internal/coordination/schedule/host_choice_test.go
@@ -50,6 +50,7 @@
 // TestHostChoiceIsThatOfAFullSearch places tasks of many steps on hosts of all kinds of state.
 func TestHostChoiceIsThatOfAFullSearch(t *testing.T) {
 	p, now := emptyPool(t, 12)
+	r := &round{now: now, open: p.openHosts(now)}
 	random := rand.New(rand.NewPCG(1, 2))
 	for n := range 12 {
 		h := p.hosts[worker.ID(fmt.Sprintf("h%03d", n))]
@@ -62,7 +63,7 @@
 		definition.LongRunning, definition.MaxPerHost, definition.DataRack = random.IntN(3) == 0, random.IntN(3), fmt.Sprintf("r%d", random.IntN(4))
 		e := &jobEntry{Job: jobs.New(&job.Job{ID: job.ID(fmt.Sprintf("%016x", n)), Pool: "maps", Steps: []job.Step{definition}}), occurrences: map[int]*occurrence{}}
 		s := e.step(e.open(0), 0)
-		choice := p.newHostChoice(s, now)
+		choice := p.newHostChoice(s, r)
 		for index := range definition.Tasks {
 			task := s.task(index)
 			task.avoidHost = worker.ID(fmt.Sprintf("h%03d", random.IntN(12)))
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -13,6 +13,8 @@
 	// lowest is the priority of the least urgent job that has runs.
 	lowest   int
 	unplaced unplacedDemands
+	// open are the hosts on which tasks may be started in this plan if they have room.
+	open []*host
 	// waiting is set once a candidate could not be placed.
 	waiting bool
 }
@@ -22,6 +24,7 @@
 	p.plans++
 	r := round{now: now, orders: orders, lowest: p.leastUrgentPriority()}
 	p.placeSuspects(now, orders)
+	r.open = p.openHosts(now)
 	if p.shares != nil {
 		p.shares.placeByShare(p, &r)
 	} else {
@@ -67,7 +70,7 @@
 		r.waiting = !p.placeGang(c, r.now, r.orders) || r.waiting
 	case r.unplaced.excludes(c.step):
 		r.waiting = true
-	case !p.placeTasks(c, r.now, r.orders):
+	case !p.placeTasks(c, r):
 		r.waiting = true
 		r.unplaced.add(c.step)
 		if c.urgency().mayPreempt(r.lowest) {
@@ -80,8 +83,8 @@
 
 // placeTasks places a step's tasks one by one and reports whether there was room for all that the
 // quota admits.
-func (p *Pool) placeTasks(c candidate, now time.Time, orders *Orders) bool {
-	choice := p.newHostChoice(c.step, now)
+func (p *Pool) placeTasks(c candidate, r *round) bool {
+	now, choice := r.now, p.newHostChoice(c.step, r)
 	for t := range c.step.startable(now) {
 		if c.step.job.organisation != nil && !p.admitsNow(t, now) {
 			if !t.kept() {
@@ -100,7 +103,7 @@
 		if h == nil {
 			return false
 		}
-		p.start(t, h, t.nextRunNumber(p.token), now, orders)
+		p.start(t, h, t.nextRunNumber(p.token), now, r.orders)
 		choice.changed(h)
 	}
 	return true
