jobhost: bound the orders that an owner has open at a time

Cause: an unbounded queue inside the process. Each placed run had its own goroutine, and all of them called their workers at once, four to a host. The renewals of the owner's membership waited behind hundreds of calls.

At most 64 orders are open at a time in a process; the others wait for their turn in it. One counts for 100 ms at most, so that silent workers hold up nobody.

--- a/internal/jobhost/job_host.go
+++ b/internal/jobhost/job_host.go
@@ -73,6 +73,7 @@
 	hosts     *hostsView
 	reports   *schedule.ReportFeed
 	epochs    schedule.Epochs
+	orders    orderGate
 	keeper    *owner.Keeper
 	candidacy *candidacyLoop
 	contact   contact
@@ -108,7 +109,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &JobHost{
 		settings: s, platform: platform, events: events, now: now, metrics: newMetrics(), cancel: cancel,
-		partitions: map[keyedlog.Partition]*partition{}, network: peer.TCP{},
+		partitions: map[keyedlog.Partition]*partition{}, network: peer.TCP{}, orders: newOrderGate(),
 	}
 	for _, apply := range opts {
 		apply(h)
--- a/internal/jobhost/pool_runner.go
+++ b/internal/jobhost/pool_runner.go
@@ -165,6 +165,11 @@
 		case <-ctx.Done():
 			return
 		}
+		leave := r.host.orders.enter(ctx)
+		if leave == nil {
+			return
+		}
+		defer leave()
 		carryOut(ctx)
 		r.signal()
 	})
--- a/internal/jobhost/pool_runner_test.go
+++ b/internal/jobhost/pool_runner_test.go
@@ -30,7 +30,7 @@
 	t.Helper()
 	r := &runnerTest{T: t, now: time.Time{}.Add(time.Second)}
 	limits := schedule.Limits{Lease: 5 * time.Second, MaxLease: 10 * time.Second, MaxUnconfirmed: 6 * time.Second}
-	h := &JobHost{settings: Settings{Limits: limits}, events: noEvents{}, now: func() time.Time { return r.now }}
+	h := &JobHost{settings: Settings{Limits: limits}, events: noEvents{}, now: func() time.Time { return r.now }, orders: newOrderGate()}
 	h.keeper = owner.New(nil, nil, noEvents{}, h.now, keyedlog.JoinRequest{})
 	r.runner = &poolRunner{host: h, pool: schedule.New("maps", 7, limits, r.now, noEvents{})}
 	r.runner.pool.SetChecksCapacity(true)
