jobhost: give a read of the configuration more time after one without an answer

What callers would see: an entry host whose link needs over 1.5 s for a version of the configuration never has it in force (CONFIG); with 2 Mbit/s that is a version of 375 KB.

Cause: each read of the operators' partition had 1.5 s, also the repeated ones. After a read without an answer the next one does not wait for records and has 3 s.

TestLargeVersionIsReadOverASlowLink failed before: a record that takes 2 s is not read within 10 s.

--- a/internal/jobhost/follower.go
+++ b/internal/jobhost/follower.go
@@ -47,6 +47,12 @@
 	// which it was sent and that of the answer.
 	onCurrent func(sent, at time.Time)
 
+	// growsPatient is set if a read that got no answer is given more time when it is repeated: what it has to
+	// transfer may be large and the link slow.
+	growsPatient bool
+	// unanswered is how many of the last reads got no answer.
+	unanswered int
+
 	// gather is how long to wait after a read that returned records, so that the next one
 	// returns several.
 	gather time.Duration
@@ -146,13 +152,21 @@
 
 func (f *follower) read(ctx context.Context, wait time.Duration) (keyedlog.Batch, error) {
 	// An answer that is not waited for may be as large as the log allows.
-	ctx, cancel := context.WithTimeout(ctx, max(wait+readSlack, minPageTimeout))
+	limit := max(wait+readSlack, minPageTimeout)
+	if f.growsPatient && f.unanswered > 0 {
+		wait, limit = 0, maxPageTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	sent := f.now()
 	batch, err := f.log.Read(ctx, f.partition, f.from, wait)
 	if err != nil {
+		if verdict.FromError(err).Verdict != verdict.NotRun {
+			f.unanswered++
+		}
 		return batch, err
 	}
+	f.unanswered = 0
 	if batch.Unreadable > 0 {
 		f.events.Event("records-unreadable", "topic", f.partition.Topic, "partition", f.partition.Number, "count", batch.Unreadable)
 	}
