--- a/internal/jobhost/pool_runner.go
+++ b/internal/jobhost/pool_runner.go
@@ -25,9 +25,8 @@
 	// placementTimeout bounds a placement check; it is long because the service answers
 	// queries one after another.
 	placementTimeout = 8 * time.Second
-	// maxOrdersPerHost bounds the concurrent starts, and the other concurrent orders, to one host: a second
-	// one goes on while the first gets no answer. Each may need a connection of its own.
-	maxOrdersPerHost = 2
+	// maxOrdersPerHost bounds the concurrent starts, and the other concurrent orders, to one host.
+	maxOrdersPerHost = 4
 )
 
 // poolRunner plans one pool and carries out its scheduler's orders during one tenure.
