jobhost: open more than two orders to a host only if it does not answer

Of four orders that may be open to a host, the third and fourth now wait for 20 ms first. A worker answers within a few milliseconds.

--- a/internal/jobhost/conversation.go
+++ b/internal/jobhost/conversation.go
@@ -30,14 +30,14 @@
 	target atomic.Pointer[worker.Target]
 	// starts and others bound the start orders and the other orders in flight to the host, so
 	// that a stop doesn't wait for unanswered starts.
-	starts, others chan struct{}
+	starts, others hostOrders
 	// queries asks for the host's runs to be read outside the renewal loop.
 	queries chan struct{}
 }
 
 func newLeaseClient(runner *poolRunner) *leaseClient {
 	return &leaseClient{
-		runner: runner, starts: make(chan struct{}, maxOrdersPerHost), others: make(chan struct{}, maxOrdersPerHost), queries: make(chan struct{}, 1),
+		runner: runner, starts: newHostOrders(), others: newHostOrders(), queries: make(chan struct{}, 1),
 	}
 }
 
--- a/internal/jobhost/pool_runner.go
+++ b/internal/jobhost/pool_runner.go
@@ -25,8 +25,6 @@
 	// placementTimeout bounds a placement check; it is long because the service answers
 	// queries one after another.
 	placementTimeout = 8 * time.Second
-	// maxOrdersPerHost bounds the concurrent starts, and the other concurrent orders, to one host.
-	maxOrdersPerHost = 4
 )
 
 // poolRunner plans one pool and carries out its scheduler's orders during one tenure.
@@ -140,9 +138,9 @@
 	}
 }
 
-func startOrders(c *leaseClient) chan struct{} { return c.starts }
+func startOrders(c *leaseClient) hostOrders { return c.starts }
 
-func otherOrders(c *leaseClient) chan struct{} { return c.others }
+func otherOrders(c *leaseClient) hostOrders { return c.others }
 
 // client returns the lease client of a host, or nil.
 func (r *poolRunner) client(id worker.ID) *leaseClient {
@@ -151,20 +149,19 @@
 	return r.leaseClients[id]
 }
 
-// send carries out an order in its own goroutine, with at most maxOrdersPerHost of its kind to
-// one host at a time. A host that has just left the pool has no bound.
-func (r *poolRunner) send(ctx context.Context, target worker.Target, kind func(*leaseClient) chan struct{}, carryOut func(context.Context)) {
-	slots := make(chan struct{}, 1)
+// send carries out an order in its own goroutine once the open ones of its kind to the host allow it. A
+// host that has just left the pool has no bound.
+func (r *poolRunner) send(ctx context.Context, target worker.Target, kind func(*leaseClient) hostOrders, carryOut func(context.Context)) {
+	orders := newHostOrders()
 	if client := r.client(target.ID); client != nil {
-		slots = kind(client)
+		orders = kind(client)
 	}
 	r.loops.Go(func() {
-		select {
-		case slots <- struct{}{}:
-			defer func() { <-slots }()
-		case <-ctx.Done():
+		end := orders.begin(ctx)
+		if end == nil {
 			return
 		}
+		defer end()
 		leave := r.host.orders.enter(ctx)
 		if leave == nil {
 			return
