--- a/internal/jobhost/follower.go
+++ b/internal/jobhost/follower.go
@@ -154,7 +154,7 @@
 	// An answer that is not waited for may be as large as the log allows.
 	limit := max(wait+readSlack, minPageTimeout)
 	if f.growsPatient && f.unanswered > 0 {
-		wait, limit = 0, maxPageTimeout
+		wait, limit = 0, pageTimeout(f.unanswered)
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
--- a/internal/jobhost/newest_reader.go
+++ b/internal/jobhost/newest_reader.go
@@ -10,9 +10,10 @@
 
 const (
 	// minPageTimeout and maxPageTimeout bound the reading of one page. A page that gets no answer is given
-	// more time when it is read again, since the link may be slow.
+	// more time when it is read again, since the link may be slow; but so little that a configuration is in
+	// force within the required three seconds after an outage.
 	minPageTimeout = readWait + readSlack
-	maxPageTimeout = 2 * minPageTimeout
+	maxPageTimeout = 2 * time.Second
 )
 
 // newestReader reads the newest record of each key of a partition, page by page. After an error, the next
@@ -49,8 +50,16 @@
 	}
 }
 
+// pageTimeout returns the time for a call after so many without an answer.
+func pageTimeout(unanswered int) time.Duration {
+	if unanswered == 0 {
+		return minPageTimeout
+	}
+	return maxPageTimeout
+}
+
 func (r *newestReader) readPage(ctx context.Context) (keyedlog.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, min(maxPageTimeout, minPageTimeout*time.Duration(1+r.unanswered)))
+	ctx, cancel := context.WithTimeout(ctx, pageTimeout(r.unanswered))
 	defer cancel()
 	after := ""
 	if n := len(r.batch.Records); n > 0 {
