--- a/internal/coordination/schedule/pacer.go
+++ b/internal/coordination/schedule/pacer.go
@@ -41,10 +41,10 @@
 // planLead is how long before a plan the hosts are asked for what it should know.
 const planLead = 20 * time.Millisecond
 
-// Ask returns how long to wait before a host that has just answered is asked again for its runs. What it
-// could list sooner would have no effect before the next plan, and each answer costs processor time. A
-// pool that is planned often enough does not wait.
-func (p *Pacer) Ask(now time.Time) time.Duration {
+// RenewalPause returns how long to wait before a host that has just answered is asked again for its runs.
+// What it could list sooner would have no effect before the next plan, and each answer costs processor
+// time. A pool that is planned often enough does not wait.
+func (p *Pacer) RenewalPause(now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.interval <= 2*planLead {
--- a/internal/jobhost/conversation.go
+++ b/internal/jobhost/conversation.go
@@ -66,7 +66,7 @@
 		}
 		retry = renewalRetryMin
 		c.awaitRecord(ctx, id)
-		wait(ctx, c.runner.pacer.Ask(c.runner.host.now()))
+		wait(ctx, c.runner.pacer.RenewalPause(c.runner.host.now()))
 	}
 }
 
--- a/internal/jobhost/follower.go
+++ b/internal/jobhost/follower.go
@@ -47,9 +47,9 @@
 	// which it was sent and that of the answer.
 	onCurrent func(sent, at time.Time)
 
-	// growsPatient is set if a read that got no answer is given more time when it is repeated: what it has to
+	// adaptsTimeout is set if a read that got no answer is given more time when it is repeated: what it has to
 	// transfer may be large and the link slow.
-	growsPatient bool
+	adaptsTimeout bool
 	// unanswered is how many of the last reads got no answer.
 	unanswered int
 
@@ -153,7 +153,7 @@
 func (f *follower) read(ctx context.Context, wait time.Duration) (keyedlog.Batch, error) {
 	// An answer that is not waited for may be as large as the log allows.
 	limit := max(wait+readSlack, minPageTimeout)
-	if f.growsPatient && f.unanswered > 0 {
+	if f.adaptsTimeout && f.unanswered > 0 {
 		wait, limit = 0, pageTimeout(f.unanswered)
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
--- a/internal/jobhost/job_host.go
+++ b/internal/jobhost/job_host.go
@@ -141,7 +141,7 @@
 func (h *JobHost) startLoops(ctx context.Context) {
 	operators := &follower{
 		log: h.platform.Log, events: h.events, partition: h.platform.Records.OperatorPartition(), now: h.now,
-		apply: h.operators.apply, onAnswer: h.operatorsAnswered, onRefused: h.reports.LogRefused, growsPatient: true,
+		apply: h.operators.apply, onAnswer: h.operatorsAnswered, onRefused: h.reports.LogRefused, adaptsTimeout: true,
 	}
 	h.loops.Go(func() { operators.run(ctx) })
 	h.loops.Go(func() { h.versions.run(ctx) })
--- a/internal/jobhost/slow_link_test.go
+++ b/internal/jobhost/slow_link_test.go
@@ -35,7 +35,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		began, read := time.Now(), time.Duration(0)
 		f := &follower{
-			log: slowLog{transfer: 1800 * time.Millisecond}, events: noEvents{}, now: time.Now, growsPatient: true,
+			log: slowLog{transfer: 1800 * time.Millisecond}, events: noEvents{}, now: time.Now, adaptsTimeout: true,
 			apply: func(records []keyedlog.Record) {
 				if len(records) > 0 {
 					read = time.Since(began)
