intake: log by which version a call is refused, and how old that is

It is known from each read of the operators' partition that leaves nothing unread: up to the end of its wait if it has no records, else up to when it was sent. What is answered does not change. Both interfaces for callers find the queue and the organisation in one place now.

--- a/internal/jobhost/dump.go
+++ b/internal/jobhost/dump.go
@@ -37,7 +37,8 @@
 	Offset    int64 `json:"offset"`
 }
 
-// Metrics returns the latencies, readiness, configuration version and the largest organisations of the
+// Metrics returns the latencies, readiness, configuration version with the time since it was last known to be
+// the newest, and the largest organisations of the
 // pools that the entry host owns.
 func (h *JobHost) Metrics() map[string]any {
 	stands, _ := h.candidacy.stands()
@@ -45,6 +46,9 @@
 	if config := h.config(); config != nil {
 		m["config-version"] = config.Version
 	}
+	if at := h.ConfirmedAt(); !at.IsZero() {
+		m["config-confirmed-age-ms"] = h.now().Sub(at).Milliseconds()
+	}
 	if rows := h.organisationMetrics(); len(rows) > 0 {
 		m["organisations"] = rows
 	}
--- a/internal/jobhost/follower.go
+++ b/internal/jobhost/follower.go
@@ -46,6 +46,9 @@
 	// onCurrent, if set, is called after each read that leaves nothing unread, with the time at
 	// which it was sent and that of the answer.
 	onCurrent func(sent, at time.Time)
+	// onComplete, if set, is called after each such read, once its records have been applied, with a time
+	// up to which all records are known.
+	onComplete func(until time.Time)
 
 	// adaptsTimeout is set if a read that got no answer is given more time when it is repeated: what it has to
 	// transfer may be large and the link slow.
@@ -176,12 +179,27 @@
 	}
 	f.apply(batch.Records)
 	f.moveTo(batch.Next)
-	if f.onCurrent != nil && batch.Next >= batch.End {
+	if batch.Next < batch.End {
+		return batch, nil
+	}
+	if f.onCurrent != nil {
 		f.onCurrent(sent, answeredAt)
 	}
+	if f.onComplete != nil {
+		f.onComplete(completeUntil(&batch, sent, answeredAt, wait))
+	}
 	return batch, nil
 }
 
+// completeUntil returns the time up to which a read that leaves nothing unread has all records. How long an
+// answer was under way is not known, but the log gives one without records only once the wait is over.
+func completeUntil(batch *keyedlog.Batch, sent, answeredAt time.Time, wait time.Duration) time.Time {
+	if len(batch.Records) == 0 && answeredAt.Sub(sent) >= wait {
+		return sent.Add(wait)
+	}
+	return sent
+}
+
 func (f *follower) moveTo(offset int64) {
 	f.from = offset
 	f.position.Store(offset)
--- a/internal/jobhost/job_host.go
+++ b/internal/jobhost/job_host.go
@@ -142,6 +142,7 @@
 	operators := &follower{
 		log: h.platform.Log, events: h.events, partition: h.platform.Records.OperatorPartition(), now: h.now,
 		apply: h.operators.apply, onAnswer: h.operatorsAnswered, onRefused: h.reports.LogRefused, adaptsTimeout: true,
+		onComplete: h.versions.confirmation.confirm,
 	}
 	h.loops.Go(func() { operators.run(ctx) })
 	h.loops.Go(func() { h.versions.run(ctx) })
--- a/internal/jobhost/peer_versions.go
+++ b/internal/jobhost/peer_versions.go
@@ -25,8 +25,9 @@
 // peerVersions fetches newer versions of the configuration from peers while the log does not answer for
 // the operators' partition, and while a job was accepted by a version that this entry host lacks.
 type peerVersions struct {
-	host *JobHost
-	wake chan struct{}
+	host         *JobHost
+	wake         chan struct{}
+	confirmation confirmation
 
 	mu sync.Mutex
 	// answeredAt is when the log last answered a read of the operators' partition.
--- a/internal/protocol/verdict/cause.go
+++ b/internal/protocol/verdict/cause.go
@@ -8,6 +8,7 @@
 	CauseTooLarge       Cause = "too-large"
 	CauseUnauthorised   Cause = "unauthorised"
 	CauseUnknownKind    Cause = "unknown-kind"
+	CauseUnknownQueue   Cause = "unknown-queue"
 	CauseNeverFits      Cause = "never-fits"
 	CauseOverloaded     Cause = "overloaded"
 	CauseQueueFull      Cause = "queue-full"
@@ -36,6 +37,7 @@
 	CauseTooLarge:       http.StatusRequestEntityTooLarge,
 	CauseUnauthorised:   http.StatusUnauthorized,
 	CauseUnknownKind:    http.StatusNotFound,
+	CauseUnknownQueue:   http.StatusNotFound,
 	CauseNeverFits:      http.StatusUnprocessableEntity,
 	CauseOverloaded:     http.StatusServiceUnavailable,
 	CauseQueueFull:      http.StatusServiceUnavailable,
--- a/internal/transport/jobs/server.go
+++ b/internal/transport/jobs/server.go
@@ -29,9 +29,7 @@
 
 // Host is the entry host behind the interface.
 type Host interface {
-	// Access returns the keys of the configuration in force, with that configuration; nil if there is
-	// none yet.
-	Access() *access.Directory
+	intake.Versions
 	Intake() *intake.Intake
 }
 
@@ -59,27 +57,20 @@
 // that ends after requestTimeout.
 func (s server) withQueue(answer func(context.Context, http.ResponseWriter, *http.Request, queueRequest)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		directory := s.host.Access()
-		if directory == nil {
-			writeProblem(w, http.StatusServiceUnavailable, verdict.NotRun, "no configuration is in force yet; try again")
-			return
-		}
-		c := directory.Configuration()
 		name := r.PathValue("queue")
-		n := slices.IndexFunc(c.Queues, func(q queue.Queue) bool { return q.Name == name })
-		if n < 0 {
-			writeProblem(w, http.StatusNotFound, verdict.NotRun, "there is no queue "+strconv.Quote(name))
-			return
-		}
-		organisation, err := directory.Caller(r.Header[headerAuthorization], c.Queues[n].Public)
+		caller, err := s.host.Intake().Identify(s.host, r.Header[headerAuthorization], func(c *queue.Configuration) (*queue.Queue, error) {
+			n := slices.IndexFunc(c.Queues, func(q queue.Queue) bool { return q.Name == name })
+			if n < 0 {
+				return nil, verdict.NotRunError(verdict.CauseUnknownQueue, "there is no queue "+strconv.Quote(name))
+			}
+			return &c.Queues[n], nil
+		})
 		if err != nil {
-			w.Header().Set("WWW-Authenticate", access.Scheme)
 			writeError(w, err)
 			return
 		}
 		ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
 		defer cancel()
-		caller := intake.Caller{Configuration: c, Queue: &c.Queues[n], Organisation: organisation}
 		answer(ctx, w, r, queueRequest{caller, job.ID(r.PathValue("id"))})
 	}
 }
@@ -140,6 +131,9 @@
 
 func writeError(w http.ResponseWriter, err error) {
 	e := verdict.FromError(err)
+	if e.Cause == verdict.CauseUnauthorised {
+		w.Header().Set("WWW-Authenticate", access.Scheme)
+	}
 	if e.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(e.RetryAfterSeconds()))
 	}
