emulator: tests that no host refuses a call by a version replaced long before

The tests so far called only hosts that had been in contact for the bound.

The checks of a refused and of an accepted key are apart now. A refusal is judged by when the call was sent, as the users' rule has it, and at any host; what was accepted as before.

--- a/internal/emulator/site/keyed_callers.go
+++ b/internal/emulator/site/keyed_callers.go
@@ -31,19 +31,25 @@
 	return running
 }
 
-// keyedCaller returns the caller with a key, as an entry host identifies it now.
-func (s *Site) keyedCaller(h *EntryHost, key, queueName string) (intake.Caller, error) {
-	directory := h.Access()
-	if directory == nil {
-		return intake.Caller{}, verdict.NotRunError(verdict.CauseNotServing, "no configuration is in force yet")
+// IdentifyCaller returns the caller with a key, as an entry host identifies it now, and checks a refusal.
+func (s *Site) IdentifyCaller(h *EntryHost, key, queueName string) (intake.Caller, error) {
+	sent := time.Now()
+	caller, err := h.Intake().Identify(h, []string{access.Scheme + " " + key}, func(c *queue.Configuration) (*queue.Queue, error) {
+		return queueNamed(c, queueName), nil
+	})
+	if err != nil && verdict.FromError(err).Cause == verdict.CauseUnauthorised {
+		s.ledger.keyRefused(h.Name, queue.DigestKey(key), sent)
 	}
-	c := directory.Configuration()
-	q := queueNamed(c, queueName)
-	organisation, err := directory.Caller([]string{access.Scheme + " " + key}, q.Public)
-	if c.RequiresKeys && !q.Public {
-		s.ledger.keyChecked(h.Name, queue.DigestKey(key), organisation, err == nil)
+	return caller, err
+}
+
+// keyedCaller does the same, and checks what an entry host in contact with the log accepts.
+func (s *Site) keyedCaller(h *EntryHost, key, queueName string) (intake.Caller, error) {
+	caller, err := s.IdentifyCaller(h, key, queueName)
+	if err == nil && caller.Configuration.RequiresKeys && !caller.Queue.Public {
+		s.ledger.keyAccepted(h.Name, queue.DigestKey(key), caller.Organisation)
 	}
-	return intake.Caller{Configuration: c, Queue: q, Organisation: organisation}, err
+	return caller, err
 }
 
 // SubmitWithKey submits a job once, at a given entry host, as a caller with a key does.
--- a/internal/emulator/site/keys_test.go
+++ b/internal/emulator/site/keys_test.go
@@ -118,6 +118,20 @@
 	})
 }
 
+// TestRandomRefusalsAreOfNewVersions guards against a refusal by a version that was replaced long before, at any
+// entry host, whatever keeps the new one from it.
+func TestRandomRefusalsAreOfNewVersions(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		runRandom(t, seed, func(f *fixture) { f.site.RotateKeys(configuration, time.Now().Add(keyDay)) }, func(f *fixture) {
+			for end := time.Now().Add(keyDay); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+				for _, h := range f.site.runningHosts() {
+					f.wait.Go(func() { _, _ = f.site.IdentifyCaller(h, f.site.RandomKey(), "tiles") })
+				}
+			}
+		})
+	})
+}
+
 // keyDay is how long keys are rotated.
 const keyDay = 30 * time.Second
 
--- a/internal/emulator/site/late_versions_test.go
+++ b/internal/emulator/site/late_versions_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/queue"
+	"github.com/hornbeammast/hornbeammast/internal/protocol/verdict"
 	"github.com/hornbeammast/hornbeammast/internal/protocol/worker"
 )
 
@@ -77,6 +78,36 @@
 	})
 }
 
+func TestHostWithoutContactRefusesNoNewKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixtureOf(t, layout, WithKeys(configuration, 1, map[string][]string{"one": {"k-1"}}), 1, events(t))
+		f.site.IsolateDataCentre("a", true)
+		// The read that waits for a record ends.
+		time.Sleep(1100 * time.Millisecond)
+		if err := f.site.Configure(WithKeys(configuration, 2, twoOrganisations)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(keyBound + time.Second)
+		for key, want := range map[string]verdict.Cause{"k-2": verdict.CauseNotServing, "k-none": verdict.CauseNotServing} {
+			if _, err := f.site.IdentifyCaller(f.hosts[0], key, "tiles"); err == nil || verdict.FromError(err).Cause != want {
+				t.Errorf("without contact, %s is answered with %v; want %s", key, err, want)
+			}
+		}
+		if _, err := f.site.IdentifyCaller(f.hosts[0], "k-1", "tiles"); err != nil {
+			t.Errorf("without contact, a known key is answered with %v", err)
+		}
+		f.site.IsolateDataCentre("a", false)
+		time.Sleep(keyBound)
+		if _, err := f.site.IdentifyCaller(f.hosts[0], "k-2", "tiles"); err != nil {
+			t.Errorf("in contact again, the new key is answered with %v", err)
+		}
+		if _, err := f.site.IdentifyCaller(f.hosts[0], "k-none", "tiles"); err == nil || verdict.FromError(err).Cause != verdict.CauseUnauthorised {
+			t.Errorf("in contact again, an unknown key is answered with %v", err)
+		}
+		f.finish()
+	})
+}
+
 func TestOwnerStartsNothingByAVersionThatItLacks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newMovedFixture(t, 3)
--- a/internal/emulator/site/ledger_keys.go
+++ b/internal/emulator/site/ledger_keys.go
@@ -48,21 +48,26 @@
 	return ""
 }
 
-// keyChecked checks what an entry host has made of the key of a call just now.
-func (l *Ledger) keyChecked(host string, key queue.KeyDigest, organisation string, passed bool) {
+// keyRefused checks a refusal of a call with a key that was sent at a time. Any entry host has to know that the
+// key is invalid.
+func (l *Ledger) keyRefused(host string, key queue.KeyDigest, sent time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	periods := l.keys[key]
-	if !passed {
-		if len(periods) > 0 {
-			if last := periods[len(periods)-1]; last.until.IsZero() && time.Since(last.since) > keyBound {
-				l.addViolation("key: %s refuses a key of %s %s after it was published", host, last.organisation, time.Since(last.since))
-			}
-		}
+	if len(periods) == 0 {
 		return
 	}
+	if last := periods[len(periods)-1]; last.until.IsZero() && sent.Sub(last.since) > keyBound {
+		l.addViolation("key: %s refuses a key of %s %s after it was published", host, last.organisation, sent.Sub(last.since))
+	}
+}
+
+// keyAccepted checks the organisation that an entry host has given to a call with a key just now.
+func (l *Ledger) keyAccepted(host string, key queue.KeyDigest, organisation string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	known := false
-	for _, p := range periods {
+	for _, p := range l.keys[key] {
 		if p.organisation != organisation {
 			continue
 		}
