emulator: open connections between isolated data centres go silent

Isolation kept new connections from being made, and open ones carried on, so that peers which were cut off still told each other of versions. What is sent over such a connection is lost now, and nothing arrives over it any more, as behind a partition.

--- a/internal/emulator/site/network.go
+++ b/internal/emulator/site/network.go
@@ -5,12 +5,13 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 )
 
 // network connects entry hosts through in-memory pipes. Isolating a data centre prevents
-// new connections to and from it.
+// new connections to and from it, and open ones go silent.
 type network struct {
 	site *Site
 
@@ -53,7 +54,7 @@
 		<-ctx.Done()
 		return nil, errors.Wrap(ctx.Err(), "connect across a network partition")
 	}
-	local, remote := net.Pipe()
+	local, remote := n.pipe(address)
 	select {
 	case l.conns <- remote:
 		return local, nil
@@ -64,6 +65,33 @@
 	}
 }
 
+// pipe returns the ends of a connection to the peer at an address.
+func (n hostNetwork) pipe(address netip.AddrPort) (local, remote net.Conn) {
+	local, remote = net.Pipe()
+	silent := &atomic.Bool{}
+	isSilent := func() bool {
+		if !n.network.site.peersConnected(n.host, address) {
+			silent.Store(true)
+		}
+		return silent.Load()
+	}
+	return &peerConn{local, isSilent}, &peerConn{remote, isSilent}
+}
+
+// peerConn is an end of a connection, from which nothing arrives once it was silent.
+type peerConn struct {
+	net.Conn
+	isSilent func() bool
+}
+
+// Write sends data, or loses it if the connection is silent.
+func (c *peerConn) Write(data []byte) (int, error) {
+	if c.isSilent() {
+		return len(data), nil
+	}
+	return c.Conn.Write(data) //nolint:wrapcheck // As net.Conn.
+}
+
 // Accept waits for the next connection.
 func (l *pipeListener) Accept() (net.Conn, error) {
 	select {
