intake, jobhost: a call is refused only by a version that is confirmed

Callers were refused by a version of the configuration that had long been replaced: with 404 for a queue, or with 401 for a key, that the newer one had added.

Cause: an entry host refused by the version that it had, and took it for the newest because versions usually arrive in 30 ms. Nothing checked that. A host without processor time, a follower that is held up, or a host that has lost the log without being counted as such, refuses by an old one.

Now a version that does not allow a call has to be confirmed first: by a read of the operators' partition that leaves nothing unread, or by a peer that tells how old its own confirmation is, within bounds.version-time. In contact nothing is sent, and calls that the version allows never wait. An owner that lacks the version of a job asks the log too.

This holds whatever delays a version.

--- a/internal/cmd/serve_jobs.go
+++ b/internal/cmd/serve_jobs.go
@@ -170,7 +170,7 @@
 		Name: loaded.Name, DataCentre: loaded.DataCentre, PeerAddress: loaded.PeerAddress,
 		Partitions: loaded.Platform.Partitions,
 		LogLimits:  keyedlog.Limits{Record: loaded.Platform.RecordBytes, Call: loaded.Platform.CallBytes},
-		GroupTTL:   ttl,
+		GroupTTL:   ttl, VersionTime: b.VersionTime.Std(),
 		Resources: candidacy.Capacity{
 			CPU: int64(milliPerCore * loaded.Process.CoreShare * loaded.Process.CoreSpeed), LinkMbps: int64(loaded.Process.LinkMbps),
 		},
--- a/internal/emulator/site/keyed_callers.go
+++ b/internal/emulator/site/keyed_callers.go
@@ -34,7 +34,7 @@
 // IdentifyCaller returns the caller with a key, as an entry host identifies it now, and checks a refusal.
 func (s *Site) IdentifyCaller(h *EntryHost, key, queueName string) (intake.Caller, error) {
 	sent := time.Now()
-	caller, err := h.Intake().Identify(h, []string{access.Scheme + " " + key}, func(c *queue.Configuration) (*queue.Queue, error) {
+	caller, err := h.Intake().Identify(context.Background(), h, []string{access.Scheme + " " + key}, func(c *queue.Configuration) (*queue.Queue, error) {
 		return queueNamed(c, queueName), nil
 	})
 	if err != nil && verdict.FromError(err).Cause == verdict.CauseUnauthorised {
--- a/internal/emulator/site/late_versions_test.go
+++ b/internal/emulator/site/late_versions_test.go
@@ -108,6 +108,21 @@
 	})
 }
 
+func TestPeersConfirmARefusalIfTheLogIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixtureOf(t, layout, WithKeys(configuration, 1, twoOrganisations), 1, events(t))
+		h := f.hosts[0]
+		time.Sleep(keyBound)
+		f.silenceOperators(h)
+		time.Sleep(2 * keyBound)
+		if _, err := f.site.IdentifyCaller(h, "k-none", "tiles"); err == nil || verdict.FromError(err).Cause != verdict.CauseUnauthorised {
+			t.Errorf("an unknown key is answered with %v; want unauthorised", err)
+		}
+		f.site.SetStoreFault(h.Name, StoreFault{})
+		f.finish()
+	})
+}
+
 func TestOwnerStartsNothingByAVersionThatItLacks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newMovedFixture(t, 3)
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -258,7 +258,7 @@
 	s.hosts[name] = h
 	s.mu.Unlock()
 	settings := jobhost.Settings{
-		Name: name, DataCentre: dataCentre, PeerAddress: h.address, Partitions: partitions, GroupTTL: groupTTL,
+		Name: name, DataCentre: dataCentre, PeerAddress: h.address, Partitions: partitions, GroupTTL: groupTTL, VersionTime: keyBound,
 		LogLimits: keyedlog.Limits{Record: recordBytes, Call: callBytes},
 		Resources: resources, Losses: candidacy.Losses{Hosts: 1, DataCentres: 1}, AdmissionControl: true,
 		Limits: schedule.Limits{
--- a/internal/jobhost/job_host.go
+++ b/internal/jobhost/job_host.go
@@ -49,6 +49,8 @@
 	LogLimits keyedlog.Limits
 	// GroupTTL is how long a member that does not renew keeps its partitions.
 	GroupTTL time.Duration
+	// VersionTime is how long after its publication a version of the configuration has to be in force.
+	VersionTime time.Duration
 	// Resources is what the process can use, Losses what the site must bear at once.
 	Resources candidacy.Capacity
 	Losses    candidacy.Losses
@@ -142,8 +144,9 @@
 	operators := &follower{
 		log: h.platform.Log, events: h.events, partition: h.platform.Records.OperatorPartition(), now: h.now,
 		apply: h.operators.apply, onAnswer: h.operatorsAnswered, onRefused: h.reports.LogRefused, adaptsTimeout: true,
-		onComplete: h.versions.confirmation.confirm,
+		onComplete: h.versions.confirm,
 	}
+	h.versions.position = &operators.position
 	h.loops.Go(func() { operators.run(ctx) })
 	h.loops.Go(func() { h.versions.run(ctx) })
 	h.loops.Go(func() { h.keeper.Run(ctx) })
--- a/internal/jobhost/peer_handler.go
+++ b/internal/jobhost/peer_handler.go
@@ -166,9 +166,16 @@
 	return &wire.StandingReply{}, nil
 }
 
-// Configuration returns the record of the configuration in force if it is newer than the
-// requested version, and an empty reply otherwise.
+// Configuration returns the record of the configuration in force if it is newer than the requested version,
+// and up to when that configuration is known to be the newest.
 func (h peerHandler) Configuration(_ context.Context, request *wire.ConfigurationRequest) (*wire.ConfigurationReply, error) {
-	record := h.host.operators.recordAbove(request.GetAbove())
-	return &wire.ConfigurationReply{Key: record.Key, Value: record.Value}, nil
+	// The record is taken last: a version that comes into force meanwhile is newer than the one confirmed.
+	confirmedAt := h.host.ConfirmedAt()
+	version, record := h.host.operators.recordAbove(request.GetAbove())
+	reply := &wire.ConfigurationReply{Key: record.Key, Value: record.Value}
+	if !confirmedAt.IsZero() {
+		// The age is rounded up, so that the confirmation is not taken for a later one.
+		reply.ConfirmedVersion, reply.ConfirmedAgeMs = version, h.host.now().Sub(confirmedAt).Milliseconds()+1
+	}
+	return reply, nil
 }
--- a/internal/jobhost/peer_versions.go
+++ b/internal/jobhost/peer_versions.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hornbeammast/hornbeammast/internal/protocol/job"
@@ -15,6 +16,9 @@
 const (
 	// askPeersInterval is how often peers are asked for the configuration.
 	askPeersInterval = 400 * time.Millisecond
+	// minAskInterval is the least time from the answers of peers until the next are asked, however many
+	// requests wait for a confirmation.
+	minAskInterval = 100 * time.Millisecond
 	// askedPeers is how many peers are asked at a time. Each may answer with the whole configuration.
 	askedPeers = 3
 	// maxVersionWait bounds how long an owner plans nothing because it lacks a version, so that one
@@ -23,11 +27,15 @@
 )
 
 // peerVersions fetches newer versions of the configuration from peers while the log does not answer for
-// the operators' partition, and while a job was accepted by a version that this entry host lacks.
+// the operators' partition, and while a job was accepted by a version that this entry host lacks. While
+// requests wait for a confirmation of the version in force, it asks the log as well.
 type peerVersions struct {
-	host         *JobHost
-	wake         chan struct{}
-	confirmation confirmation
+	confirmation
+
+	host *JobHost
+	wake chan struct{}
+	// position is that of the follower of the operators' partition.
+	position *atomic.Int64
 
 	mu sync.Mutex
 	// answeredAt is when the log last answered a read of the operators' partition.
@@ -35,6 +43,8 @@
 	// required is the newest version by which a job was accepted, since requiredAt.
 	required   int64
 	requiredAt time.Time
+	// sought is the time up to which requests wait for a confirmation.
+	sought time.Time
 	// asked is how many peers were asked.
 	asked int
 }
@@ -64,6 +74,11 @@
 		return
 	}
 	v.host.events.Event("version-required", "version", version, "in-force", inForce, "job", id)
+	v.signal()
+}
+
+// signal wakes run.
+func (v *peerVersions) signal() {
 	select {
 	case v.wake <- struct{}{}:
 	default:
@@ -80,7 +95,7 @@
 
 // needed reports whether the log may hold a version that it has not shown to this entry host.
 func (v *peerVersions) needed(now time.Time) bool {
-	if v.lacking(now) {
+	if v.lacking(now) || v.isSought() {
 		return true
 	}
 	v.mu.Lock()
@@ -94,6 +109,7 @@
 		v.pause(ctx)
 		if v.needed(v.host.now()) {
 			v.ask(ctx)
+			wait(ctx, minAskInterval)
 			continue
 		}
 		// Peers are found by the list of owners, which must be read before the log becomes unreachable.
@@ -111,25 +127,35 @@
 	}
 }
 
-// ask asks the next peers for a newer version than the one in force.
+// ask asks the next peers for a newer version than the one in force. The log is asked as well if somebody waits
+// for it.
 func (v *peerVersions) ask(ctx context.Context) {
-	request := &wire.ConfigurationRequest{Above: v.host.operators.version()}
 	var asked sync.WaitGroup
+	if v.isSought() || v.lacking(v.host.now()) {
+		asked.Go(func() { v.readToEnd(ctx) })
+	}
 	for _, address := range v.next() {
-		asked.Go(func() {
-			reply, err := v.host.peers.Configuration(ctx, address, request)
-			switch {
-			case err != nil:
-				v.host.directory.markUnresponsive(address)
-				v.host.events.Event("peer-silent", "peer", address, "call", "configuration", "error", err)
-			case len(reply.GetValue()) > 0:
-				v.host.operators.apply([]keyedlog.Record{{Key: reply.GetKey(), Value: reply.GetValue()}})
-			}
-		})
+		asked.Go(func() { v.askPeer(ctx, address) })
 	}
 	asked.Wait()
 }
 
+func (v *peerVersions) askPeer(ctx context.Context, address netip.AddrPort) {
+	sent := v.host.now()
+	reply, err := v.host.peers.Configuration(ctx, address, &wire.ConfigurationRequest{Above: v.host.operators.version()})
+	if err != nil {
+		v.host.directory.markUnresponsive(address)
+		v.host.events.Event("peer-silent", "peer", address, "call", "configuration", "error", err)
+		return
+	}
+	if len(reply.GetValue()) > 0 {
+		v.host.operators.apply([]keyedlog.Record{{Key: reply.GetKey(), Value: reply.GetValue()}})
+	}
+	if confirmed := reply.GetConfirmedVersion(); confirmed > 0 && v.host.operators.version() >= confirmed {
+		v.confirm(sent.Add(-time.Duration(reply.GetConfirmedAgeMs()) * time.Millisecond))
+	}
+}
+
 // next returns the peers to ask, others each time.
 func (v *peerVersions) next() []netip.AddrPort {
 	peers := slices.DeleteFunc(v.host.directory.knownOwners(), v.host.directory.unresponsive)
--- a/internal/jobhost/views.go
+++ b/internal/jobhost/views.go
@@ -149,15 +149,15 @@
 	return len(v.pools[address]) > 1
 }
 
-// recordAbove returns the record of the configuration in force if its version is above the
-// given one, and an empty record otherwise.
-func (v *operatorsView) recordAbove(version int64) keyedlog.Record {
+// recordAbove returns the version in force, and its record if the version is above the given one. It is 0 if
+// there is none yet.
+func (v *operatorsView) recordAbove(version int64) (inForce int64, record keyedlog.Record) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if config := v.config(); config == nil || config.Version <= version {
-		return keyedlog.Record{}
+	if inForce = v.version(); inForce <= version {
+		return inForce, keyedlog.Record{}
 	}
-	return v.record
+	return inForce, v.record
 }
 
 func (v *operatorsView) allWaves() []machine.Wave {
--- a/internal/jobhost/views_test.go
+++ b/internal/jobhost/views_test.go
@@ -63,7 +63,7 @@
 	if diff := cmp.Diff(want, events); diff != "" {
 		t.Errorf("events (-want +got):\n%s", diff)
 	}
-	if kept := v.recordAbove(2); string(kept.Value) != "without keys" {
+	if _, kept := v.recordAbove(2); string(kept.Value) != "without keys" {
 		t.Errorf("the record for peers is %s", kept.Value)
 	}
 }
--- a/internal/protocol/settings/job_settings.go
+++ b/internal/protocol/settings/job_settings.go
@@ -78,6 +78,8 @@
 	// ContactTime is how long a change in a worker's report may take to have effect, beyond
 	// the interval of the reports.
 	ContactTime fleet.Duration `json:"contact-time,omitempty"`
+	// VersionTime is how long after its publication a version of the configuration has to be in force.
+	VersionTime fleet.Duration `json:"version-time,omitempty"`
 	// CheckpointInterval is the working time between two checkpoints of a task.
 	CheckpointInterval fleet.Duration `json:"checkpoint-every,omitempty"`
 	// EndedJobRetention is how long the state of an ended job can be queried.
@@ -118,6 +120,7 @@
 			NoticeTime:         fleet.Duration(5 * time.Second),
 			StopTime:           fleet.Duration(time.Second),
 			ContactTime:        fleet.Duration(3 * time.Second),
+			VersionTime:        fleet.Duration(2 * time.Second),
 			CheckpointInterval: fleet.Duration(time.Second), EndedJobRetention: fleet.Duration(2 * time.Minute),
 			RemoteDataFactor: 2, ShutdownGrace: fleet.Duration(6 * time.Second), LostHosts: 2, LostDataCentres: 1,
 		},
@@ -195,6 +198,9 @@
 	if s.Bounds.MaxLease < fleet.Duration(time.Second) {
 		return errors.New("bounds: max-lease must be at least 1s")
 	}
+	if s.Bounds.VersionTime < fleet.Duration(time.Second) {
+		return errors.New("bounds: version-time must be at least 1s")
+	}
 	if s.Platform.MachineOrdersPerSecond <= 0 || s.Platform.MachineReadsPerSecond <= 0 {
 		return errors.New("platform: machine-orders-per-second and machine-reads-per-second must be above 0")
 	}
--- a/internal/transport/jobs/server.go
+++ b/internal/transport/jobs/server.go
@@ -58,7 +58,7 @@
 func (s server) withQueue(answer func(context.Context, http.ResponseWriter, *http.Request, queueRequest)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		name := r.PathValue("queue")
-		caller, err := s.host.Intake().Identify(s.host, r.Header[headerAuthorization], func(c *queue.Configuration) (*queue.Queue, error) {
+		caller, err := s.host.Intake().Identify(r.Context(), s.host, r.Header[headerAuthorization], func(c *queue.Configuration) (*queue.Queue, error) {
 			n := slices.IndexFunc(c.Queues, func(q queue.Queue) bool { return q.Name == name })
 			if n < 0 {
 				return nil, verdict.NotRunError(verdict.CauseUnknownQueue, "there is no queue "+strconv.Quote(name))
--- a/internal/transport/jobs/server_test.go
+++ b/internal/transport/jobs/server_test.go
@@ -29,9 +29,10 @@
 func (f *fakeHost) Access() *access.Directory {
 	return access.New(&queue.Configuration{Version: 1, RequiresKeys: f.organisations != nil, Organisations: f.organisations, Queues: []queue.Queue{{Name: "tiles", Pool: "maps", MaxAttempts: 2}}, Pools: []queue.Pool{{Name: "maps"}}})
 }
-func (f *fakeHost) ConfirmedAt() time.Time { return time.Now() }
-func (f *fakeHost) Intake() *intake.Intake { return intake.New(f, f, f, time.Now) }
-func (f *fakeHost) Event(string, ...any)   {}
+func (f *fakeHost) ConfirmedAccess(context.Context) *access.Directory { return f.Access() }
+func (f *fakeHost) ConfirmedAt() time.Time                            { return time.Now() }
+func (f *fakeHost) Intake() *intake.Intake                            { return intake.New(f, f, f, time.Now) }
+func (f *fakeHost) Event(string, ...any)                              {}
 
 func (f *fakeHost) Submit(_ context.Context, j *job.Job) error {
 	if f.err == nil {
