--- a/internal/jobhost/confirmation.go
+++ b/internal/jobhost/confirmation.go
@@ -67,14 +67,15 @@
 
 // awaitConfirmed waits until a time has been confirmed, and reports whether it has before ctx ends.
 func (v *peerVersions) awaitConfirmed(ctx context.Context, required time.Time) bool {
-	for isAsked := false; ; isAsked = true {
+	if !v.confirmedAt().Before(required) {
+		return true
+	}
+	v.seek(required)
+	for {
 		changed := v.changed.changed()
 		if !v.confirmedAt().Before(required) {
 			return true
 		}
-		if !isAsked {
-			v.seek(required)
-		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
